Send a waiting push to its agent before that agent is gone

Each had been told "not run", came back under its ticket 0.5 s later and waited at the entry's gate for room while the one agent that could answer for the ticket stopped and was replaced; the gate let it go after that. The entry looks whether an agent is stopping only before the wait, so a push that is already waiting, or comes before the heartbeat with the stop on a busy machine, outlives its agent. Beside it a second gap: an agent that refuses a push says "come back in 1 s" and may end 1 s after the stop began. Ruled out: a lost stop in the heartbeats (the link's log shows none), a wait before the gate (pushes with tickets take none). Change: the wait at the gate ends when the ticket's agent begins to stop, and the push is sent there; a stopping agent stays for 2 s after the last refusal of a ticket.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -30,8 +30,6 @@
 	// ticketBlockSize is the number of tickets in a block: an entry that sells a
 	// hundred a second asks for a block every ten seconds.
 	ticketBlockSize = 1024
-	// ticketMaxBlocks bounds the memory for used tickets: some 70 bytes for each
-	// ticket used, so about 70 MB if every ticket of every block is.
 	// ticketMaxBlocks bounds the memory for used tickets: two bits each, 4 MB in all.
 	// 490 entries ask for some 1,310 blocks within a ticket's lifetime even when idle.
 	ticketMaxBlocks = 16384
--- a/internal/agent/deliver.go
+++ b/internal/agent/deliver.go
@@ -52,9 +52,7 @@
 // serveSettle answers what became of a ticket. The ledger voids one it has not seen:
 // "not seen" alone would not be true a moment later.
 func (e *executor) serveSettle(settle *api.Settle, stream *link.Stream) {
-	e.mu.Lock()
-	decision := e.ledger.Settle(clock.Now(), settle.GetTicket(), settle.GetCustomer())
-	e.mu.Unlock()
+	decision := e.settle(settle)
 	if decision.Action == ticket.Join {
 		_ = stream.Send(&api.WorkEvent{Body: &api.WorkEvent_Accepted{Accepted: &api.Accepted{AnswerId: decision.AnswerID}}})
 		return
@@ -63,6 +61,17 @@
 	_ = stream.Send(&api.WorkEvent{Body: &api.WorkEvent_Refusal{Refusal: settled}})
 }
 
+func (e *executor) settle(settle *api.Settle) ticket.Decision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := clock.Now()
+	decision := e.ledger.Settle(now, settle.GetTicket(), settle.GetCustomer())
+	if decision.Ran == api.Ran_RAN_NO {
+		e.told = now
+	}
+	return decision
+}
+
 // deliver sends an answer as it grows, and returns when the receiver has it whole or
 // the stream breaks. The answer stays for another stream.
 func (e *executor) deliver(j *job, cursor answer.Cursor, stream *link.Stream) {
--- a/internal/agent/executor.go
+++ b/internal/agent/executor.go
@@ -24,6 +24,9 @@
 	// retryElsewhere is when a caller may come back after a refusal that has
 	// nothing to do with load.
 	retryElsewhere = time.Second
+	// returnGrace is how long a stopping agent stays for a caller that was told to come
+	// back: the time it was told, and as much again for its way and a busy machine.
+	returnGrace = 2 * retryElsewhere
 	// orphanGrace is how long work without a ticket goes on that nobody reads the
 	// answer of. A caller whose entry died comes back through another within it;
 	// past it the engine's room is of more use to others.
@@ -57,8 +60,10 @@
 	pace        *pace
 	asked       bool // the backend server has said what it still runs
 	wasOut      bool // the VM was out of service and has not come back since
-	prefixes    newPrefixes
-	silence     silence
+	// told is when a caller with a ticket was last told to come back; 0 for never.
+	told     time.Duration
+	prefixes newPrefixes
+	silence  silence
 	// streamed is when a stream's first token last came; 0 for never.
 	streamed time.Duration
 	loads    loads
@@ -173,6 +178,9 @@
 		// The ticket is voided before "not run" is said: a copy of the request
 		// may still sit in a silent link.
 		decision = e.ledger.Void(now, work.GetTicket(), work.GetCustomer(), requestHash(work), refusing)
+		if decision.Code == refusing {
+			e.told = now
+		}
 	}
 	switch decision.Action {
 	case ticket.Run:
@@ -269,6 +277,7 @@
 func (e *executor) abandon(work *api.Work) {
 	if t := work.GetTicket(); t != nil {
 		e.ledger.Abandon(t)
+		e.told = clock.Now()
 	}
 }
 
@@ -362,15 +371,20 @@
 	}
 }
 
-// idle says that nothing runs, waits or is still to be delivered. An answer whose link
-// broke has no reader for a moment: its entry comes back for it over another link, and
-// the process must not be gone by then.
+// idle says that nothing runs, waits or is still to be delivered, and that nobody comes
+// back. An answer whose link broke has no reader for a moment: its entry comes back for it
+// over another link, and the process must not be gone by then. Nor for a caller that was
+// told "not run" under its ticket and comes back with it: nobody else can say that the
+// ticket is void, and the caller would hear "unknown".
 func (e *executor) idle(now time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.running > 0 || e.queue.Len() > 0 {
 		return false
 	}
+	if e.told > 0 && now-e.told < returnGrace {
+		return false
+	}
 	for _, j := range e.jobs {
 		// Nobody comes back for work that was given up because its caller had gone.
 		givenUp := j.repeatable() && j.buffer.Refusal() != nil
--- a/internal/agent/executor_test.go
+++ b/internal/agent/executor_test.go
@@ -251,6 +251,32 @@
 	}
 }
 
+// A push comes to an agent that is stopping: it is told "not run", and when to come back.
+// The caller does so under the same ticket, of which this agent alone can say that it is
+// void. Were it gone by then, the caller would be told "unknown" after "not run".
+func TestStopWaitsForCallersToldToComeBack(t *testing.T) {
+	e := testExecutor(t, "http://127.0.0.1:1", &api.Backend{Service: "labels", FullLimit: 8, ColdLimit: 8})
+	e.refusing = func(time.Duration) api.ResultCode { return api.ResultCode_DRAINING }
+	for name, refuse := range map[string]func(*api.Ticket){
+		"refused on arrival": func(minted *api.Ticket) { _, _ = e.take(push(minted)) },
+		"settled":            func(minted *api.Ticket) { _ = e.settle(&api.Settle{Ticket: minted, Customer: "c"}) },
+	} {
+		minted := mint(t, e)
+		refuse(minted)
+		now := clock.Now()
+		if e.idle(now) || e.idle(now+retryElsewhere) {
+			t.Errorf("%s: the agent would be gone when the caller comes back", name)
+		}
+		if !e.idle(now + returnGrace) {
+			t.Errorf("%s: the agent waits for a caller that does not come back", name)
+		}
+		if _, refused := e.take(push(minted)); refused.GetCode() != api.ResultCode_TICKET_VOID || refused.GetRan() != api.Ran_RAN_NO {
+			t.Errorf("%s: a caller that comes back is told %v", name, refused)
+		}
+		e.told = 0
+	}
+}
+
 // The service closes without an answer, so nobody knows whether the push ran. The
 // caller hears "unknown"; then room is needed, and the record of it is let go of. The
 // caller asks again and must not hear "it ran", or the store keeps the old price.
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -38,6 +39,8 @@
 	// split names the models that splitModels finds.
 	split map[string]bool
 	links *links
+	// peersMoved is closed and made anew at each change of the links or of what they say.
+	peersMoved chan struct{}
 	// usuals are handed to agents that replace others.
 	usuals *usuals
 }
@@ -63,6 +66,8 @@
 		view:      config.NewFold().View(),
 		links:     &links{}, // All agents get work.
 		usuals:    newUsuals(),
+
+		peersMoved: make(chan struct{}),
 	}
 }
 
@@ -99,6 +104,8 @@
 			d.peers[vm] = peer
 		}
 	}
+	close(d.peersMoved)
+	d.peersMoved = make(chan struct{})
 	d.dropTickets(was)
 	d.usuals.prune(clock.Now())
 	for vm := range was {
@@ -329,6 +336,42 @@
 	return ok && peer.Draining
 }
 
+// whileTaken returns a context that also ends when the agent which a ticket names begins
+// to stop; without a ticket, the context given.
+//
+// Load: pushes wait at the gate for room while the one agent that may run them stops.
+// Harm prevented: they wait for longer than the agent lives, and its callers are left not
+// knowing whether their pushes ran. Sent at once, they hear it from the agent itself.
+func (d *directory) whileTaken(ctx context.Context, t *api.Ticket) (context.Context, context.CancelFunc) {
+	if t == nil {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for {
+			// Asked for before the look: a change between the two must not be missed.
+			moved := d.moved()
+			if d.draining(t) {
+				cancel()
+				return
+			}
+			select {
+			case <-moved:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
+// moved returns a channel that is closed at the next change of the links.
+func (d *directory) moved() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.peersMoved
+}
+
 // known says whether any backend server offers the key.
 func (d *directory) known(offer string) bool {
 	d.mu.Lock()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -153,14 +153,19 @@
 	if !e.directory.known(req.offer) || e.directory.draining(req.given) {
 		return out.finish(e.dispatchPast(ctx, req, out))
 	}
-	pass, refused := e.gate.enter(ctx, admit.Request{
+	taken, untie := e.directory.whileTaken(ctx, req.given)
+	pass, refused := e.gate.enter(taken, admit.Request{
 		Customer: req.caller.name,
 		Key:      req.caller.key,
 		Offer:    req.offer,
 		Deadline: req.deadline,
 		Priority: int(req.work.GetPriority()),
 	})
+	untie()
 	record.WaitMs = (clock.Now() - arrived).Milliseconds()
+	if refused != nil && e.directory.draining(req.given) {
+		return out.finish(e.dispatchPast(ctx, req, out))
+	}
 	if refused != nil {
 		return out.finish(e.refuseTicket(ctx, req, refused, out))
 	}
--- a/internal/entry/tickets_test.go
+++ b/internal/entry/tickets_test.go
@@ -190,6 +190,48 @@
 	}
 }
 
+// A push with its ticket waits at the gate, since no agent has room, when the one agent
+// that may run it begins to stop. It is sent there at once: left to wait for room, it would
+// reach an agent that is gone, and the store would be left not knowing whether it ran.
+func TestATicketDoesNotOutwaitItsAgent(t *testing.T) {
+	held := make(chan struct{})
+	defer close(held)
+	hold := func(work *api.Work, stream *link.Stream) {
+		<-held
+		whole("x")(work, stream)
+	}
+	var leaving *fakeAgent
+	leaving = serviceAgent(t, "b1", func(work *api.Work, stream *link.Stream) {
+		if leaving.drains.Load() {
+			refuse(stream, api.ResultCode_TICKET_VOID, api.Ran_RAN_NO)
+			return
+		}
+		hold(work, stream)
+	})
+	staying := serviceAgent(t, "b2", hold)
+	e, url := startEntry(t, leaving, staying)
+	var given string
+	eventually(t, "a ticket of the agent that leaves", func() bool {
+		given = takeTicket(t, url)
+		decoded, err := ticket.Decode(given)
+		return err == nil && decoded.GetAgentVm() == "b1"
+	})
+	// From the first that waits on the gate knows that no agent has room.
+	eventually(t, "that a push waits at the gate", func() bool {
+		go ask(t, url, "/services/s/push")
+		time.Sleep(20 * time.Millisecond)
+		return e.gate.dump().Waiting > 0
+	})
+	waiting := e.gate.dump().Waiting
+	answered := make(chan reply, 1)
+	go func() { answered <- ask(t, url, "/services/s/push", "Idempotency-Key", given) }()
+	eventually(t, "that the one with a ticket waits too", func() bool { return e.gate.dump().Waiting > waiting })
+	leaving.drains.Store(true)
+	if got := <-answered; got.result != "209 TICKET_VOID" {
+		t.Errorf("got %+v", got)
+	}
+}
+
 // The first request that the gate lets in finds no place after all, and waits. The room is
 // taken for none until the next look at it; but there are backend servers, and a request
 // that comes in between must not be told that nobody offers what it asks for.
