Let a stopping agent go when only refusals are left

Cause: with the stay for refused tickets TestPlannedStopUnderPushes showed a stop of 10.0 s where others took 1 to 2 s. A push that is refused out of the agent's queue leaves an answer that nobody reads: a refusal is never reported as delivered, and for work with a ticket the stop waited the 10 s in which a reader may come back for an answer. Change: an answer that is a refusal of work that has not run holds no stop up. The ledger knows that its ticket is void.

--- a/internal/agent/executor.go
+++ b/internal/agent/executor.go
@@ -386,8 +386,10 @@
 		return false
 	}
 	for _, j := range e.jobs {
-		// Nobody comes back for work that was given up because its caller had gone.
-		givenUp := j.repeatable() && j.buffer.Refusal() != nil
+		// Nobody comes back for work that was given up because its caller had gone. Of
+		// work with a ticket that was refused before it ran the ledger knows all there is.
+		refused := j.buffer.Refusal()
+		givenUp := refused != nil && (j.repeatable() || refused.GetRan() == api.Ran_RAN_NO)
 		if !j.buffer.IsDelivered() && (j.readers > 0 || !givenUp && now-j.alone < orphanGrace) {
 			return false
 		}
--- a/internal/agent/executor_test.go
+++ b/internal/agent/executor_test.go
@@ -277,6 +277,44 @@
 	}
 }
 
+// Pushes wait for room at an agent that is told to stop. Each is refused as "not run", its
+// ticket is void, and nothing is left to come back for: a stop that waited for it as for an
+// answer would hold the VM's replacement up for seconds.
+func TestStopDoesNotWaitForWhatItRefused(t *testing.T) {
+	began, hold := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(began)
+		<-hold
+	}))
+	defer server.Close()
+	e := testExecutor(t, server.URL, &api.Backend{Service: "labels", FullLimit: 1, ColdLimit: 1, Queue: 4})
+	running, refused := e.take(push(mint(t, e)))
+	if refused != nil {
+		t.Fatal(refused)
+	}
+	<-began
+	waiting, refused := e.take(push(mint(t, e)))
+	if refused != nil {
+		t.Fatal(refused)
+	}
+	e.refusing = func(time.Duration) api.ResultCode { return api.ResultCode_DRAINING }
+	e.pump(clock.Now())
+	if refused := end(t, e, waiting); refused.GetRan() != api.Ran_RAN_NO {
+		t.Fatalf("the push that waited: %v", refused)
+	}
+	close(hold)
+	if refused := end(t, e, running); refused != nil {
+		t.Fatal(refused)
+	}
+	await(t, func() bool { e.mu.Lock(); defer e.mu.Unlock(); return e.running == 0 })
+	e.mu.Lock()
+	e.answers.Delivered(running.buffer)
+	e.mu.Unlock()
+	if !e.idle(clock.Now() + returnGrace) {
+		t.Error("the agent waits for the reader of a refusal")
+	}
+}
+
 // The service closes without an answer, so nobody knows whether the push ran. The
 // caller hears "unknown"; then room is needed, and the record of it is let go of. The
 // caller asks again and must not hear "it ran", or the store keeps the old price.
