--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	@scripts/check
 
 # The race detector goes over all that has goroutines. coord/ and decide/ have none, which
-# a test of theirs checks, and their long simulations take four times as long under it.
+# a test of theirs checks, and their simulations take several times as long under it.
 unit:
 	go test -count=1 -timeout 8m $(if $(KNOWN_RED),'$(KNOWN_RED)') ./coord/... ./decide/...
 	go test -short -race -count=1 -timeout 8m $(if $(KNOWN_RED),'$(KNOWN_RED)') ./api/... ./internal/... ./cmd/...
--- a/internal/entry/tickets_test.go
+++ b/internal/entry/tickets_test.go
@@ -33,6 +33,18 @@
 	return answer.Ticket
 }
 
+// takeTicketOf gets one of the agent on a VM.
+func takeTicketOf(t *testing.T, url, vm string) string {
+	t.Helper()
+	var given string
+	eventually(t, "a ticket of "+vm, func() bool {
+		given = takeTicket(t, url)
+		decoded, err := ticket.Decode(given)
+		return err == nil && decoded.GetAgentVm() == vm
+	})
+	return given
+}
+
 func serviceAgent(t *testing.T, vm string, script func(*api.Work, *link.Stream)) *fakeAgent {
 	agent := newFakeAgent(t, vm, script)
 	agent.status = &api.BackendStatus{Service: "s", Limit: 8, FullLimit: 8}
@@ -170,12 +182,7 @@
 	})
 	staying.status.Limit, staying.status.FullLimit = 1, 1
 	e, url := startEntry(t, leaving, staying)
-	var given string
-	eventually(t, "a ticket of the agent that leaves", func() bool {
-		given = takeTicket(t, url)
-		decoded, err := ticket.Decode(given)
-		return err == nil && decoded.GetAgentVm() == "b1"
-	})
+	given := takeTicketOf(t, url, "b1")
 	leaving.drains.Store(true)
 	eventually(t, "that it drains", func() bool { return e.node.State().Peers["b1"].Draining })
 	go ask(t, url, "/services/s/push")
@@ -210,12 +217,7 @@
 	})
 	staying := serviceAgent(t, "b2", hold)
 	e, url := startEntry(t, leaving, staying)
-	var given string
-	eventually(t, "a ticket of the agent that leaves", func() bool {
-		given = takeTicket(t, url)
-		decoded, err := ticket.Decode(given)
-		return err == nil && decoded.GetAgentVm() == "b1"
-	})
+	given := takeTicketOf(t, url, "b1")
 	// From the first that waits on the gate knows that no agent has room.
 	eventually(t, "that a push waits at the gate", func() bool {
 		go ask(t, url, "/services/s/push")
