--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -336,13 +336,13 @@
 	return ok && peer.Draining
 }
 
-// whileTaken returns a context that also ends when the agent which a ticket names begins
+// untilDraining returns a context that also ends when the agent which a ticket names begins
 // to stop; without a ticket, the context given.
 //
 // Load: pushes wait at the gate for room while the one agent that may run them stops.
 // Harm prevented: they wait for longer than the agent lives, and its callers are left not
 // knowing whether their pushes ran. Sent at once, they hear it from the agent itself.
-func (d *directory) whileTaken(ctx context.Context, t *api.Ticket) (context.Context, context.CancelFunc) {
+func (d *directory) untilDraining(ctx context.Context, t *api.Ticket) (context.Context, context.CancelFunc) {
 	if t == nil {
 		return ctx, func() {}
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -153,15 +153,15 @@
 	if !e.directory.known(req.offer) || e.directory.draining(req.given) {
 		return out.finish(e.dispatchPast(ctx, req, out))
 	}
-	taken, untie := e.directory.whileTaken(ctx, req.given)
-	pass, refused := e.gate.enter(taken, admit.Request{
+	waitCtx, endWait := e.directory.untilDraining(ctx, req.given)
+	pass, refused := e.gate.enter(waitCtx, admit.Request{
 		Customer: req.caller.name,
 		Key:      req.caller.key,
 		Offer:    req.offer,
 		Deadline: req.deadline,
 		Priority: int(req.work.GetPriority()),
 	})
-	untie()
+	endWait()
 	record.WaitMs = (clock.Now() - arrived).Milliseconds()
 	if refused != nil && e.directory.draining(req.given) {
 		return out.finish(e.dispatchPast(ctx, req, out))
