--- a/cmd/apricothub/main.go
+++ b/cmd/apricothub/main.go
@@ -18,6 +18,7 @@
 	"github.com/apricothub/apricothub/internal/command/status"
 	"github.com/apricothub/apricothub/internal/command/version"
 	"github.com/apricothub/apricothub/internal/entry"
+	"github.com/apricothub/apricothub/internal/gateway"
 )
 
 func main() {
@@ -29,6 +30,7 @@
 	commands := []*cli.Command{
 		daemon.Entry(entry.Run),
 		daemon.Agent(agent.Run),
+		daemon.Gateway(gateway.Run),
 		publish.Command(),
 		mark.Command(),
 		status.Command(),
--- /dev/null
+++ b/coord/peering/peering.go
@@ -0,0 +1,172 @@
+// Package peering keeps what entries tell each other in beats: who serves, and what each
+// has at backend servers.
+//
+// A beat is sent to every entry that may live. Beats may be lost, repeated or overtaken.
+// Time is an argument, counted since the process started. A Table holds no clock, socket or
+// goroutine, and is not safe for use by several goroutines at once.
+package peering
+
+import (
+	"slices"
+	"time"
+
+	"github.com/apricothub/apricothub/api"
+)
+
+// Config holds the times of a table. A zero field takes its default.
+type Config struct {
+	// Silent is the silence after which an entry counts as gone. Default 1.2 s: several
+	// beats in a row are not lost by chance, and callers are sent to a dead entry for no
+	// longer.
+	Silent time.Duration
+	// Beat is the shortest time between two beats to an entry. Default 150 ms, a tenth of
+	// the time that a generation takes, so that what others have at backend servers is
+	// known while it is still there.
+	Beat time.Duration
+	// BeatsPerSecond bounds the beats that a process sends a second. Default 60: as many
+	// arrive, and both together stay far below a hundredth of a small VM's core.
+	BeatsPerSecond float64
+	// Probe is the time between two beats to an entry that is silent. Default 1 s.
+	Probe time.Duration
+	// Forget is the silence after which an entry is no longer sent to. Default 60 s. One
+	// that comes back later makes itself known.
+	Forget time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	set := func(d *time.Duration, value time.Duration) {
+		if *d == 0 {
+			*d = value
+		}
+	}
+	set(&c.Silent, 1200*time.Millisecond)
+	set(&c.Beat, 150*time.Millisecond)
+	set(&c.Probe, time.Second)
+	set(&c.Forget, time.Minute)
+	if c.BeatsPerSecond == 0 {
+		c.BeatsPerSecond = 60
+	}
+	return c
+}
+
+// Table is what one entry knows of the others.
+type Table struct {
+	cfg   Config
+	self  string
+	peers map[string]*peer
+}
+
+// peer is another entry, by its IP.
+type peer struct {
+	ip    string
+	beat  *api.PeerBeat
+	heard time.Duration
+	// known is when the IP was learned: until it is heard, silence counts from then.
+	known time.Duration
+	sent  time.Duration
+	began bool
+}
+
+// New returns the table of the entry at an IP.
+func New(self string, cfg Config) *Table {
+	return &Table{cfg: cfg.withDefaults(), self: self, peers: make(map[string]*peer)}
+}
+
+// Learn notes an IP at which there may be an entry.
+func (t *Table) Learn(ip string, now time.Duration) {
+	if ip == "" || ip == t.self || t.peers[ip] != nil {
+		return
+	}
+	t.peers[ip] = &peer{ip: ip, known: now}
+}
+
+// Heard takes in a beat. It returns false for one that is older than what was heard.
+//
+// Load: beats that overtake each other. Harm prevented: an entry that has begun to leave
+// is taken as serving again, and callers are sent to it.
+func (t *Table) Heard(beat *api.PeerBeat, now time.Duration) bool {
+	ip := beat.GetIp()
+	if ip == "" || ip == t.self {
+		return false
+	}
+	t.Learn(ip, now)
+	p := t.peers[ip]
+	if old := p.beat; old != nil && old.GetIncarnation() == beat.GetIncarnation() && old.GetSequence() >= beat.GetSequence() {
+		return false
+	}
+	p.beat = beat
+	p.heard = now
+	for _, other := range beat.GetOthers() {
+		t.Learn(other, now)
+	}
+	return true
+}
+
+func (t *Table) live(p *peer, now time.Duration) bool {
+	return p.beat != nil && now-p.heard <= t.cfg.Silent
+}
+
+// Live returns the last beats of the entries that are not silent, in the order of their
+// IPs.
+func (t *Table) Live(now time.Duration) []*api.PeerBeat {
+	var beats []*api.PeerBeat
+	for _, p := range t.peers {
+		if t.live(p, now) {
+			beats = append(beats, p.beat)
+		}
+	}
+	slices.SortFunc(beats, func(a, b *api.PeerBeat) int {
+		switch {
+		case a.GetIp() < b.GetIp():
+			return -1
+		case a.GetIp() > b.GetIp():
+			return 1
+		}
+		return 0
+	})
+	return beats
+}
+
+// interval is the time between two beats to an entry that is heard.
+//
+// Load: hundreds of entries. Harm prevented: beats from all to all that grow with their
+// square; each process sends BeatsPerSecond at most, so that with more entries each hears
+// of the others less often.
+func (t *Table) interval(live int) time.Duration {
+	spread := time.Duration(float64(live) / t.cfg.BeatsPerSecond * float64(time.Second))
+	return max(t.cfg.Beat, min(spread, t.cfg.Silent/3))
+}
+
+// Due returns the IPs that a beat is to be sent to now, counts it as sent, and forgets
+// entries that have been silent for long. With all, as on a change that is not to wait, a
+// beat is due to every entry that is heard.
+func (t *Table) Due(now time.Duration, all bool) []string {
+	live := 0
+	for _, p := range t.peers {
+		if t.live(p, now) {
+			live++
+		}
+	}
+	interval := t.interval(live)
+	var due []string
+	for ip, p := range t.peers {
+		if now-max(p.heard, p.known) > t.cfg.Forget {
+			delete(t.peers, ip)
+			continue
+		}
+		wait := t.cfg.Probe
+		if t.live(p, now) {
+			wait = interval
+			if all {
+				wait = 0
+			}
+		}
+		if p.began && now-p.sent < wait {
+			continue
+		}
+		p.began = true
+		p.sent = now
+		due = append(due, ip)
+	}
+	return due
+}
--- /dev/null
+++ b/coord/peering/peering_test.go
@@ -0,0 +1,83 @@
+package peering
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apricothub/apricothub/api"
+)
+
+const msec = time.Millisecond
+
+func beat(ip string, incarnation, sequence uint64) *api.PeerBeat {
+	return &api.PeerBeat{Ip: ip, Incarnation: incarnation, Sequence: sequence, Serving: true}
+}
+
+// An entry dies without a word. Callers are told of it until its silence shows, and no
+// longer.
+func TestSilentEntriesAreGone(t *testing.T) {
+	table := New("10.0.0.1", Config{})
+	table.Heard(beat("10.0.0.2", 1, 1), 0)
+	if n := len(table.Live(1200 * msec)); n != 1 {
+		t.Fatalf("%d live after 1.2 s", n)
+	}
+	if n := len(table.Live(1201 * msec)); n != 0 {
+		t.Errorf("%d live after more than 1.2 s", n)
+	}
+}
+
+// An entry says that it leaves, and an earlier beat of it arrives late. Callers must not be
+// sent to it again. A new start of the entry counts from one again and is heard.
+func TestBeatsThatWereOvertaken(t *testing.T) {
+	table := New("10.0.0.1", Config{})
+	leaving := beat("10.0.0.2", 7, 5)
+	leaving.Serving = false
+	table.Heard(leaving, 0)
+	if table.Heard(beat("10.0.0.2", 7, 4), 10*msec) {
+		t.Error("an older beat was taken")
+	}
+	if table.Live(20 * msec)[0].GetServing() {
+		t.Error("serves again")
+	}
+	if !table.Heard(beat("10.0.0.2", 8, 1), 30*msec) || !table.Live(40 * msec)[0].GetServing() {
+		t.Error("the new start was not heard")
+	}
+}
+
+// An entry learns of others from a third, and tells itself nothing.
+func TestOthersAreLearned(t *testing.T) {
+	table := New("10.0.0.1", Config{})
+	b := beat("10.0.0.2", 1, 1)
+	b.Others = []string{"10.0.0.1", "10.0.0.3"}
+	table.Heard(b, 0)
+	if due := table.Due(0, false); len(due) != 2 {
+		t.Errorf("beats are due to %v", due)
+	}
+}
+
+// With hundreds of entries each process sends no more beats a second than it may, and still
+// often enough that nobody counts as silent.
+func TestBeatsAreBoundedAtSize(t *testing.T) {
+	table := New("self", Config{})
+	sent := 0
+	for now := time.Duration(0); now < 10*time.Second; now += 50 * msec {
+		for i := range 24 {
+			table.Heard(beat(string(rune('a'+i)), 1, uint64(now)+1), now)
+		}
+		sent += len(table.Due(now, false))
+	}
+	if sent > 700 || sent < 400 {
+		t.Errorf("%d beats in ten seconds", sent)
+	}
+}
+
+func TestForgotten(t *testing.T) {
+	table := New("self", Config{})
+	table.Learn("other", 0)
+	if n := len(table.Due(59*time.Second, false)); n != 1 {
+		t.Fatalf("%d beats due", n)
+	}
+	if n := len(table.Due(61*time.Second, false)); n != 0 {
+		t.Errorf("%d beats due to an entry never heard", n)
+	}
+}
--- /dev/null
+++ b/coord/registry/registry_test.go
@@ -0,0 +1,85 @@
+package registry
+
+import (
+	"testing"
+	"time"
+)
+
+const second = time.Second
+
+func ids(r *Registry) map[string]bool {
+	set := map[string]bool{}
+	for _, e := range r.Entries() {
+		set[e.ID] = true
+	}
+	return set
+}
+
+// The store is away for longer than registrations last. When it is back all of them are
+// gone, and one server registers again within two seconds. Callers see no refusal for want
+// of servers, and nothing is sent to the one that did not come back.
+func TestRegistrationsThatLapsedInAnOutage(t *testing.T) {
+	r := New()
+	r.Put(Server{ID: "a"}, 0)
+	r.Put(Server{ID: "b"}, 0)
+	r.Reachable(false, 10*second)
+	r.Expire(20 * second)
+	if len(ids(r)) != 2 {
+		t.Fatalf("during the outage: %v", ids(r))
+	}
+	r.Reachable(true, 20*second)
+	r.Remove("a", 20*second)
+	r.Remove("b", 20*second)
+	r.Put(Server{ID: "a"}, 21*second)
+	if gone := r.Expire(21 * second); len(gone) != 0 {
+		t.Fatalf("taken as gone after one second: %v", gone)
+	}
+	if gone := r.Expire(22 * second); len(gone) != 1 || gone[0] != "b" {
+		t.Fatalf("gone after two seconds: %v", gone)
+	}
+	if got := ids(r); !got["a"] || got["b"] {
+		t.Errorf("left: %v", got)
+	}
+}
+
+// While the store answers, a server that removes itself leaves at once.
+func TestRemovedInCalm(t *testing.T) {
+	r := New()
+	r.Put(Server{ID: "a"}, 0)
+	r.Remove("a", second)
+	if len(ids(r)) != 0 {
+		t.Errorf("left: %v", ids(r))
+	}
+}
+
+// A member that still reaches the store says that a registration is gone. This process
+// cannot ask, and believes it once the server has had its time.
+func TestRemovedByWordOfAnother(t *testing.T) {
+	r := New()
+	r.Put(Server{ID: "a"}, 0)
+	r.Reachable(false, second)
+	r.Remove("a", 5*second)
+	r.Expire(6 * second)
+	if len(ids(r)) != 1 {
+		t.Fatal("gone before its time")
+	}
+	r.Expire(7 * second)
+	if len(ids(r)) != 0 {
+		t.Errorf("left: %v", ids(r))
+	}
+}
+
+// A server that starts again under its old ID is a new one: what was known of its warmth
+// no longer holds.
+func TestBornAgain(t *testing.T) {
+	r := New()
+	r.Put(Server{ID: "a", Born: 1}, 0)
+	r.Put(Server{ID: "a", Born: 1}, second)
+	if since := r.Entries()[0].Since; since != 0 {
+		t.Errorf("a heartbeat moved the start to %v", since)
+	}
+	r.Put(Server{ID: "a", Born: 2}, 2*second)
+	if since := r.Entries()[0].Since; since != 2*second {
+		t.Errorf("the new start is %v", since)
+	}
+}
--- /dev/null
+++ b/decide/eject/eject_test.go
@@ -0,0 +1,55 @@
+package eject
+
+import (
+	"testing"
+	"time"
+)
+
+const msec = time.Millisecond
+
+// A server fails every request at once. It gets three, then one after each ejection, which
+// lasts longer each time.
+func TestAServerThatFailsEverything(t *testing.T) {
+	j := New(Config{})
+	sent := 0
+	for now := time.Duration(0); now < 20*time.Second; now += 10 * msec {
+		if !j.Out("a", now) {
+			sent++
+			j.Failed("a", now)
+		}
+	}
+	if sent > 10 {
+		t.Errorf("%d of 2000 requests went to a server that fails all", sent)
+	}
+}
+
+// A server fails one request in five for reasons of the requests, and stays.
+func TestFailuresOfSingleRequests(t *testing.T) {
+	j := New(Config{})
+	for i := range 100 {
+		if i%5 == 0 {
+			j.Failed("a", time.Duration(i))
+		} else {
+			j.Served("a")
+		}
+		if j.Out("a", time.Duration(i)) {
+			t.Fatalf("out after request %d", i)
+		}
+	}
+}
+
+// Ten requests are on their way to a server that dies. Their failures are one event, and
+// the server is tried again after the first, short time.
+func TestFailuresAtOnceCountOnce(t *testing.T) {
+	j := New(Config{})
+	for range 10 {
+		j.Unreachable("a", 0)
+	}
+	if !j.Out("a", 499*msec) || j.Out("a", 500*msec) {
+		t.Error("not out for 500 ms")
+	}
+	j.Served("a")
+	if j.Out("a", 0) {
+		t.Error("out after it served")
+	}
+}
--- /dev/null
+++ b/internal/command/daemon/gateway.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/apricothub/apricothub/internal/command/cli"
+	"github.com/apricothub/apricothub/internal/logging"
+	"github.com/apricothub/apricothub/platform"
+)
+
+// Gateway makes the command that runs the entry of the users' platform. Its settings come
+// from the platform, and its log goes to standard output, as the platform collects it.
+func Gateway(serve func(context.Context, *platform.Settings, log.Logger) error) *cli.Command {
+	least := "info"
+	sub := cli.New("gateway", "Run an entry that calls backend servers itself, on the users' platform.", "apricothub gateway")
+	sub.AdditionalHelpAppend = signals + sub.AdditionalHelpAppend
+	sub.String(&least, "l", "log-level", "Least level of the log: debug, info, warn or error.")
+	return &cli.Command{Sub: sub, Run: func(ctx context.Context, out, _ io.Writer) error {
+		loaded, err := platform.LoadSettings()
+		if err != nil {
+			return err
+		}
+		logger, _, err := logging.New(out, least)
+		if err != nil {
+			return cli.Usage("%v.", err)
+		}
+		logger = logging.Part(logging.Limited(logger, linesPerSecond), "gateway")
+		watch := func(ctx context.Context) error { return watchSettings(ctx, loaded, logger) }
+		return untilSignal(ctx, watch, func(ctx context.Context) error { return serve(ctx, loaded, logger) })
+	}}
+}
+
+// watchSettings reads the platform's settings on each SIGHUP. The addresses, and all else
+// that a process uses of them, hold for its life; what has changed is logged.
+func watchSettings(ctx context.Context, running *platform.Settings, logger log.Logger) error {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-hangup:
+			next, err := platform.LoadSettings()
+			if err != nil {
+				_ = level.Error(logger).Log("msg", "The settings file has faults. Nothing was changed.",
+					"result", badSettings, "err", err)
+				continue
+			}
+			_ = level.Info(logger).Log("msg", "The settings were read.", "seeds", len(next.Seeds), "vm", running.VM)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/again_test.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/apricothub/apricothub/internal/routing"
+)
+
+// A push whose answer was lost may have changed the shelf. It must not be sent again,
+// whatever attempts the route has left; one that a backend server refused may.
+func TestAnother(t *testing.T) {
+	once := &routing.Route{Kind: routing.Once, Attempts: 2}
+	lookup := &routing.Route{Kind: routing.Idempotent, Attempts: 2}
+	draft := &routing.Route{Kind: routing.Stream, Resumable: true, Attempts: 2}
+	chat := &routing.Route{Kind: routing.Stream, Attempts: 2}
+	for _, c := range []struct {
+		name  string
+		v     verdict
+		route *routing.Route
+		h     history
+		want  bool
+	}{
+		{"a push whose answer was lost", broken, once, history{sent: 1, mayHaveRun: true}, false},
+		{"a push that failed", ranBadly, once, history{sent: 1, mayHaveRun: true}, false},
+		{"a push that was refused", notRun, once, history{sent: 1}, true},
+		{"a push that was refused, with no attempt left", notRun, &routing.Route{Attempts: 1}, history{sent: 1}, false},
+		{"a push that was not sent", unsent, once, history{unsent: 1}, true},
+		{"a push that could not be sent anywhere", unsent, once, history{unsent: mostUnsent}, false},
+		{"a look-up whose answer was lost", broken, lookup, history{sent: 1, mayHaveRun: true}, true},
+		{"a look-up with no attempt left", broken, lookup, history{sent: 2, mayHaveRun: true}, false},
+		{"a draft broken off", broken, draft, history{sent: 1, mayHaveRun: true}, true},
+		{"a stream broken off that cannot be resumed", broken, chat, history{sent: 1, mayHaveRun: true}, false},
+		{"a stream refused", notRun, chat, history{sent: 1}, true},
+		{"a caller that has gone", over, lookup, history{sent: 1}, false},
+		{"an answer", delivered, lookup, history{sent: 1}, false},
+	} {
+		if got := another(c.v, c.route, c.h); got != c.want {
+			t.Errorf("%s: another %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/control.go
@@ -0,0 +1,340 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/coord/keyed"
+	"github.com/apricothub/apricothub/coord/peering"
+	"github.com/apricothub/apricothub/coord/registry"
+	"github.com/apricothub/apricothub/internal/clock"
+	"github.com/apricothub/apricothub/internal/result"
+	"github.com/apricothub/apricothub/internal/routing"
+	"github.com/apricothub/apricothub/platform"
+)
+
+// tick is how often the control goroutine looks at what time alone changes: silent entries,
+// lapsed registrations, beats that are due.
+const tick = 50 * time.Millisecond
+
+// askPeersEach is the least time between two questions to other entries for what the store
+// would have said.
+const askPeersEach = 300 * time.Millisecond
+
+// view is what traffic goes by. It is never changed: the control goroutine publishes a new
+// one in its place.
+type view struct {
+	// table is nil until the configuration is known.
+	table *routing.Table
+	// addresses are where callers may connect, of all entries that serve.
+	addresses []string
+	// entries is the number of live entries, this one included.
+	entries int
+	// ready says that this entry takes new connections.
+	ready bool
+	// configAt is when the configuration was last known to be the newest, storeAt when the
+	// registrations were.
+	configAt, serversAt time.Duration
+}
+
+// control owns what the process believes: the configuration, the backend servers and the
+// other entries. Only its own goroutine touches it.
+type control struct {
+	g      *Gateway
+	logger log.Logger
+
+	operators, servers *keyed.Table
+	registry           *registry.Registry
+	peers              *peering.Table
+	table              *routing.Table
+	// out are the failure domains that operators have taken out.
+	out map[string]bool
+	// operatorsAt and serversAt are when the store last answered.
+	operatorsAt, serversAt time.Duration
+	// serversAway says that the store did not answer the last read of registrations.
+	serversAway bool
+	changed     bool
+	urgent      bool
+	askedAt     time.Duration
+	asking      bool
+	sequence    uint64
+	live        int
+}
+
+func newControl(g *Gateway, logger log.Logger, now time.Duration) *control {
+	c := &control{
+		g: g, logger: logger,
+		operators: keyed.New(), servers: keyed.New(),
+		registry: registry.New(), peers: peering.New(g.settings.IP, peering.Config{}),
+		out: make(map[string]bool), live: 1,
+	}
+	for _, seed := range g.settings.Seeds {
+		c.peers.Learn(seed, now)
+	}
+	return c
+}
+
+// run is the control goroutine.
+func (c *control) run(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case n := <-c.g.news:
+			c.takeNews(n)
+		case b := <-c.g.beats:
+			c.peers.Heard(b, clock.Now())
+		case s := <-c.g.states:
+			c.takeState(s)
+		case reply := <-c.g.stateRequests:
+			reply <- c.state()
+		case ip := <-c.g.learned:
+			c.peers.Learn(ip, clock.Now())
+		case <-c.g.leave:
+			c.urgent = true
+			c.g.leave = nil
+		case <-ticker.C:
+		}
+		c.settle(clock.Now())
+	}
+}
+
+// takeNews takes in what a follower has read.
+func (c *control) takeNews(n news) {
+	table := c.operators
+	if n.topic == platform.TopicServers {
+		table = c.servers
+		c.serversAway = n.err != nil
+		c.registry.Reachable(n.err == nil, n.at)
+	}
+	if n.err != nil {
+		return
+	}
+	if n.topic == platform.TopicServers {
+		c.serversAt = n.at
+	} else {
+		c.operatorsAt = n.at
+	}
+	c.take(n.topic, table, n.listing, n.records, n.at)
+}
+
+func (c *control) take(topic string, table *keyed.Table, listing *platform.Listing, records []keyed.Record, now time.Duration) {
+	var changes []keyed.Change
+	if listing != nil {
+		changes = table.Replace(listing.Records, listing.End)
+	}
+	for _, r := range records {
+		if change := table.Apply(r); change != nil {
+			changes = append(changes, *change)
+		}
+	}
+	for _, change := range changes {
+		if topic == platform.TopicServers {
+			c.serverChanged(change, now)
+		} else {
+			c.operatorsChanged(change)
+		}
+	}
+	if len(changes) > 0 {
+		c.changed = true
+	}
+}
+
+func (c *control) operatorsChanged(change keyed.Change) {
+	key := platform.ParseOperatorKey(change.Key)
+	switch {
+	case key.FailureDomain != "":
+		if change.Dropped() {
+			delete(c.out, key.FailureDomain)
+		} else {
+			c.out[key.FailureDomain] = true
+		}
+		_ = level.Info(c.logger).Log("msg", "A failure domain was marked.", "failure_domain", key.FailureDomain,
+			"out", !change.Dropped(), "offset", change.Offset)
+	case key.Config && !change.Dropped():
+		cfg, err := platform.DecodeConfig(change.Value)
+		if err != nil {
+			_ = level.Error(c.logger).Log("msg", "The configuration cannot be read; the last one stays in force.",
+				"result", result.Label(api.ResultCode_BAD_LIST), "offset", change.Offset, "err", err)
+			return
+		}
+		c.table = routing.NewTable(cfg)
+		_ = level.Info(c.logger).Log("msg", "A configuration is in force.", "version", cfg.Version,
+			"offset", change.Offset, "routes", len(cfg.Routes), "services", len(cfg.Services), "teams", len(cfg.Teams))
+	}
+}
+
+func (c *control) serverChanged(change keyed.Change, now time.Duration) {
+	if change.Dropped() {
+		c.registry.Remove(change.Key, now)
+		_ = level.Info(c.logger).Log("msg", "A registration is gone.", "server", change.Key, "offset", change.Offset)
+		return
+	}
+	s, err := platform.DecodeServer(change.Key, change.Value)
+	if err != nil {
+		_ = level.Warn(c.logger).Log("msg", "A registration is passed over.", "server", change.Key, "offset", change.Offset,
+			"result", result.Label(api.ResultCode_BAD_LIST), "err", err)
+		return
+	}
+	c.registry.Put(s, now)
+}
+
+// settle brings what is published up to date, and sends the beats that are due.
+func (c *control) settle(now time.Duration) {
+	for _, id := range c.registry.Expire(now) {
+		c.changed = true
+		_ = level.Info(c.logger).Log("msg", "A backend server did not register again.", "server", id)
+	}
+	live := c.peers.Live(now)
+	c.changed = c.changed || len(live)+1 != c.live
+	if c.changed && c.table != nil {
+		c.changed = false
+		c.live = len(live) + 1
+		c.g.fleet.set(c.registry.Entries(), c.out, c.table, c.live, now)
+	}
+	c.g.fleet.setOthers(othersOf(live), now)
+	c.publish(live, now)
+	c.askPeers(live, now)
+	c.beat(live, now)
+}
+
+// othersOf sums the other entries' requests by backend server.
+func othersOf(live []*api.PeerBeat) map[string]int {
+	others := make(map[string]int)
+	for _, b := range live {
+		for _, l := range b.GetLoads() {
+			others[l.GetId()] += int(l.GetInFlight())
+		}
+	}
+	return others
+}
+
+// publish makes the view that traffic goes by.
+func (c *control) publish(live []*api.PeerBeat, now time.Duration) {
+	ready := c.table != nil && !c.g.leaving.Load() && c.g.fleet.usable()
+	v := &view{
+		table: c.table, entries: len(live) + 1, ready: ready,
+		configAt: c.operatorsAt, serversAt: c.serversAt,
+	}
+	for _, b := range live {
+		if b.GetServing() {
+			v.addresses = append(v.addresses, b.GetCallersAddress())
+		}
+	}
+	if ready {
+		v.addresses = append(v.addresses, c.g.settings.Listen.Callers)
+	}
+	old := c.g.view.Load()
+	if old == nil || old.ready != ready {
+		_ = level.Info(c.logger).Log("msg", "Readiness has changed.", "ready", ready, "config_known", c.table != nil,
+			"leaving", c.g.leaving.Load(), "servers_usable", c.g.fleet.usable())
+		c.urgent = true
+	}
+	if old == nil || !slices.Equal(old.addresses, v.addresses) {
+		_ = level.Info(c.logger).Log("msg", "The entries that serve have changed.", "addresses", len(v.addresses), "live", v.entries)
+	}
+	c.g.view.Store(v)
+}
+
+// askPeers fetches from another entry what it has read beyond this one.
+//
+// Load: the store turns this entry away and serves the others. Harm prevented: it goes on by
+// an old configuration, lets in a key that was taken away, and sends to a failure domain
+// that is out.
+func (c *control) askPeers(live []*api.PeerBeat, now time.Duration) {
+	if c.asking || now-c.askedAt < askPeersEach {
+		return
+	}
+	for _, b := range live {
+		ahead := b.GetOperatorsNext() > c.operators.Next() || !c.operators.Ready() && b.GetOperatorsNext() > 0
+		// Registrations change all the time; they are read from the store unless it is away.
+		ahead = ahead || c.serversAway && b.GetServersNext() > c.servers.Next()
+		if ahead {
+			c.asking = true
+			c.askedAt = now
+			go c.g.fetchState(b.GetIp())
+			return
+		}
+	}
+}
+
+// fetched is what another entry holds, or nil when it did not answer.
+type fetched struct {
+	from  string
+	state *api.PeerState
+	err   error
+}
+
+func (c *control) takeState(f fetched) {
+	c.asking = false
+	if f.err != nil {
+		_ = level.Warn(c.logger).Log("msg", "Another entry did not tell what it holds.", "entry", f.from, "err", f.err,
+			"result", result.Label(api.ResultCode_LOG_UNAVAILABLE))
+		return
+	}
+	now := clock.Now()
+	c.takeTopic(platform.TopicOperators, c.operators, f.state.GetOperators(), now)
+	c.takeTopic(platform.TopicServers, c.servers, f.state.GetServers(), now)
+	_ = level.Info(c.logger).Log("msg", "Took what another entry holds.", "entry", f.from,
+		"operators_next", c.operators.Next(), "servers_next", c.servers.Next())
+}
+
+func (c *control) takeTopic(topic string, table *keyed.Table, t *api.KeyedTopic, now time.Duration) {
+	if !t.GetKnown() {
+		return
+	}
+	listing := &platform.Listing{End: t.GetNext()}
+	for _, r := range t.GetRecords() {
+		listing.Records = append(listing.Records, keyed.Record{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset()})
+	}
+	c.take(topic, table, listing, nil, now)
+}
+
+// state is what this entry holds, for another.
+func (c *control) state() *api.PeerState {
+	return &api.PeerState{Operators: topicState(c.operators), Servers: topicState(c.servers)}
+}
+
+func topicState(table *keyed.Table) *api.KeyedTopic {
+	t := &api.KeyedTopic{Known: table.Ready(), Next: table.Next()}
+	for _, r := range table.Records() {
+		t.Records = append(t.Records, &api.KeyedRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+	return t
+}
+
+// mostOthers bounds the entries that a beat names, so that a beat fits into one datagram.
+const mostOthers = 8
+
+// beat sends this entry's beat to those that it is due to.
+func (c *control) beat(live []*api.PeerBeat, now time.Duration) {
+	due := c.peers.Due(now, c.urgent)
+	c.urgent = false
+	if len(due) == 0 {
+		return
+	}
+	c.sequence++
+	b := &api.PeerBeat{
+		Vm: c.g.settings.VM, FailureDomain: c.g.settings.FailureDomain, Ip: c.g.settings.IP,
+		Incarnation: c.g.incarnation, Sequence: c.sequence, CallersAddress: c.g.settings.Listen.Callers,
+		Serving: c.g.view.Load().ready, Leaving: c.g.leaving.Load(),
+		OperatorsNext: c.operators.Next(), ServersNext: c.servers.Next(),
+	}
+	for _, l := range c.g.fleet.loads() {
+		b.Loads = append(b.Loads, &api.ServerLoad{Id: l.id, InFlight: uint32(l.inFlight)})
+	}
+	others := make(map[string]bool)
+	for i := range min(len(live), mostOthers) {
+		others[live[(int(c.sequence)*mostOthers+i)%len(live)].GetIp()] = true
+	}
+	b.Others = slices.Sorted(maps.Keys(others))
+	c.g.sendBeat(b, due)
+}
--- /dev/null
+++ b/internal/gateway/directory.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/internal/result"
+	"github.com/apricothub/apricothub/platform"
+)
+
+const (
+	// mostAddresses bounds the entries named to one caller.
+	mostAddresses = 64
+	// keepAddresses is how long callers keep an answer: short, since it is the time for
+	// which callers go on to an entry that has died, and an answer costs little.
+	keepAddresses = 2 * time.Second
+)
+
+// serveResolve tells a caller where to connect.
+func (g *Gateway) serveResolve(w http.ResponseWriter, r *http.Request) {
+	v := g.view.Load()
+	if v == nil || len(v.addresses) == 0 {
+		result.WriteHTTP(w, result.New(api.ResultCode_STARTING))
+		return
+	}
+	q := platform.ReadResolve(r.URL.Query())
+	keep := keepAddresses
+	if most := g.settings.Bounds.AddressTTL; most > 0 {
+		keep = min(keep, most)
+	}
+	if err := platform.WriteResolve(w, chosen(v.addresses, r.RemoteAddr), keep); err != nil {
+		_ = level.Debug(g.logger).Log("msg", "A caller did not take its addresses.", "host", q.Host, "err", err,
+			"result", result.Label(api.ResultCode_ANSWER_BROKEN))
+	}
+}
+
+// chosen returns the addresses for one caller: all of few, or a part of many that differs
+// between callers, so that one dead entry hits few of them.
+func chosen(addresses []string, caller string) []string {
+	if len(addresses) <= mostAddresses {
+		return addresses
+	}
+	sum := uint32(2166136261)
+	for _, b := range []byte(caller) {
+		sum = (sum ^ uint32(b)) * 16777619
+	}
+	from := int(sum % uint32(len(addresses)))
+	part := make([]string, 0, mostAddresses)
+	for i := range mostAddresses {
+		part = append(part, addresses[(from+i)%len(addresses)])
+	}
+	return part
+}
+
+// serveReady tells the platform whether this entry takes work.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if v := g.view.Load(); v == nil || !v.ready || g.leaving.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/gateway/dump.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apricothub/apricothub/internal/clock"
+)
+
+// dump is the state of the process as operators see it. It holds no keys.
+type dump struct {
+	VM          string       `json:"vm"`
+	Uptime      string       `json:"uptime"`
+	Ready       bool         `json:"ready"`
+	Leaving     bool         `json:"leaving"`
+	Config      int64        `json:"config_version"`
+	ConfigAge   int64        `json:"config_age_ms"`
+	ServersAge  int64        `json:"servers_age_ms"`
+	Entries     int          `json:"entries"`
+	Addresses   []string     `json:"addresses"`
+	Servers     []serverDump `json:"servers"`
+	Incarnation uint64       `json:"incarnation"`
+}
+
+type serverDump struct {
+	ID            string `json:"id"`
+	Service       string `json:"service"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	Draining      bool   `json:"draining"`
+	Ejected       bool   `json:"ejected"`
+	Own           int    `json:"own"`
+	Others        int    `json:"others"`
+	WorkMs        int64  `json:"work_ms"`
+}
+
+func (g *Gateway) serveDump(w http.ResponseWriter, _ *http.Request) {
+	d := dump{VM: g.settings.VM, Uptime: clock.Now().Round(time.Millisecond).String(), Leaving: g.leaving.Load(), Incarnation: g.incarnation}
+	if v := g.view.Load(); v != nil {
+		d.Ready = v.ready
+		d.ConfigAge = age(v.configAt)
+		d.ServersAge = age(v.serversAt)
+		d.Entries = v.entries
+		d.Addresses = v.addresses
+		if v.table != nil {
+			d.Config = v.table.Version
+		}
+	}
+	d.Servers = g.fleet.dump(clock.Now())
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(d)
+}
+
+func (f *fleet) dump(now time.Duration) []serverDump {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var servers []serverDump
+	for id, s := range f.servers {
+		servers = append(servers, serverDump{
+			ID: id, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain,
+			Draining: s.Draining, Ejected: f.judge.Out(id, now), Own: s.own, Others: s.others, WorkMs: s.work.Milliseconds(),
+		})
+	}
+	slices.SortFunc(servers, func(a, b serverDump) int { return strings.Compare(a.ID, b.ID) })
+	return servers
+}
--- /dev/null
+++ b/internal/gateway/fleet.go
@@ -0,0 +1,323 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/coord/registry"
+	"github.com/apricothub/apricothub/decide/eject"
+	"github.com/apricothub/apricothub/decide/place"
+	"github.com/apricothub/apricothub/internal/routing"
+)
+
+const (
+	// queueRoom is the part of its concurrency that may wait at a backend server beyond it.
+	// As many again as run: the wait is then about the time of one request, and backend
+	// servers queue twice that before they refuse.
+	queueRoom = 1.0
+	// workWeight is the number of requests over which the time of the work is averaged.
+	workWeight = 16
+	// retryShare is the part of the retry budget of all entries that this process plans
+	// with: entries that have just come or gone are counted late.
+	retryShare = 0.8
+)
+
+// bounds is what all entries together may do to a service or a backend server.
+type bounds struct {
+	coldOver, coldSlack float64
+	retryRatio          float64
+	retrySlack          float64
+}
+
+// fleet is what this process knows of the backend servers. It is safe for use by many
+// goroutines.
+type fleet struct {
+	bounds bounds
+
+	mu      sync.Mutex
+	table   *place.Table
+	judge   *eject.Judge
+	servers map[string]*server
+	budgets map[string]*place.RetryBudget
+	// entries is the number of live entries, this one included.
+	entries int
+}
+
+// server is one backend server.
+type server struct {
+	registry.Server
+	service *routing.Service
+	// own is this process's work there, others that of the other entries.
+	own, others int
+	work        time.Duration
+	// arrivals bounds the requests a second; nil where there is no bound.
+	arrivals *rate.Limiter
+}
+
+func newFleet(b bounds) *fleet {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &fleet{
+		bounds: b,
+		// Reports here are the other entries' own counts, a fraction of a second old.
+		table:   place.NewTable(rng, place.Config{QueueRoom: queueRoom, FullTrust: true}),
+		judge:   eject.New(eject.Config{}),
+		servers: make(map[string]*server),
+		budgets: make(map[string]*place.RetryBudget),
+		entries: 1,
+	}
+}
+
+func offer(service string) string { return "service:" + service }
+
+// set replaces the backend servers, with the failure domains that operators have taken out
+// and the number of live entries.
+func (f *fleet) set(entries []registry.Entry, out map[string]bool, cfg *routing.Table, live int, now time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = max(live, 1)
+	old := f.servers
+	f.servers = make(map[string]*server, len(entries))
+	placed := make([]place.Server, 0, len(entries))
+	for _, e := range entries {
+		service := cfg.Service(e.Service)
+		if service == nil {
+			continue
+		}
+		s := old[e.ID]
+		if s == nil {
+			s = &server{}
+		}
+		if s.Born != e.Born {
+			s.work = 0
+		}
+		s.Server = e.Server
+		s.service = service
+		f.boundArrivals(s)
+		f.servers[e.ID] = s
+		weight := 1.0
+		if e.Draining || out[e.FailureDomain] {
+			weight = 0
+		}
+		placed = append(placed, place.Server{VM: e.ID, Domain: e.FailureDomain, Offers: []string{offer(e.Service)}, Weight: weight})
+	}
+	f.table.Set(placed)
+	f.judge.Keep(func(id string) bool { return f.servers[id] != nil })
+	f.refresh(now)
+}
+
+// boundArrivals sets how many requests a second this entry sends to a server.
+//
+// Load: a backend server that is cold, or turns cold without a word, while others are gone
+// and their work comes to it. Harm prevented: it falls over. The bound is for all entries
+// together; each keeps to its part without asking, and does so also while the server is
+// taken as warm, since what a server says of itself is late.
+func (f *fleet) boundArrivals(s *server) {
+	if s.service.ColdRate <= 0 {
+		s.arrivals = nil
+		return
+	}
+	n := float64(f.entries)
+	limit := rate.Limit(s.service.ColdRate / n)
+	// In any one second at most limit and burst arrive; what the bound allows beyond the
+	// rate is shared out as burst.
+	burst := max(1, int((s.service.ColdRate*(f.bounds.coldOver-1)+f.bounds.coldSlack)/n))
+	if s.arrivals == nil {
+		s.arrivals = rate.NewLimiter(limit, burst)
+		return
+	}
+	if s.arrivals.Limit() != limit {
+		s.arrivals.SetLimit(limit)
+		s.arrivals.SetBurst(burst)
+	}
+}
+
+// setOthers takes the work of the other entries, by server.
+func (f *fleet) setOthers(others map[string]int, now time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, s := range f.servers {
+		s.others = others[id]
+	}
+	f.refresh(now)
+}
+
+// refresh tells the placement what is known of each server. The caller holds the lock.
+func (f *fleet) refresh(now time.Duration) {
+	out := make(map[string]int)
+	all := make(map[string]int)
+	for id, s := range f.servers {
+		all[s.Service]++
+		if f.judge.Out(id, now) {
+			out[s.Service]++
+		}
+	}
+	for id, s := range f.servers {
+		f.table.Report(id, now, place.Report{
+			Limit: s.Concurrency, FullLimit: s.Concurrency, Running: s.own + s.others, WorkTime: s.work,
+		})
+		// When all of a service fail, something else is at fault, and none is worse than
+		// the others.
+		f.table.Suspect(id, f.judge.Out(id, now) && out[s.Service] < all[s.Service])
+	}
+}
+
+// need is what placing a request takes.
+type need struct {
+	service string
+	tried   []string
+	left    time.Duration
+}
+
+// pick chooses a backend server and counts the request as sent there; end it with done.
+func (f *fleet) pick(n need, now time.Duration) (registry.Server, api.ResultCode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	avoid := append([]string(nil), n.tried...)
+	cold := false
+	for {
+		id, code := f.table.Pick(now, place.Request{Offer: offer(n.service), Avoid: avoid, Left: n.left})
+		if code != api.ResultCode_OK {
+			if cold {
+				code = api.ResultCode_COLD
+			}
+			return registry.Server{}, code
+		}
+		s := f.servers[id]
+		if s.arrivals != nil && !s.arrivals.AllowN(epoch.Add(now), 1) {
+			avoid = append(avoid, id)
+			cold = true
+			continue
+		}
+		s.own++
+		f.table.Started(id, now)
+		return s.Server, api.ResultCode_OK
+	}
+}
+
+// epoch makes moments of times since the process started, for the rate limiter.
+var epoch = time.Unix(0, 0)
+
+// fate is what became of a request at a backend server.
+type fate uint8
+
+const (
+	// fateServed says that the server gave its answer.
+	fateServed fate = iota
+	// fateRefused says that the server did not take the request.
+	fateRefused
+	// fateFailed says that it failed the request.
+	fateFailed
+	// fateUnreachable says that no connection to it stood.
+	fateUnreachable
+	// fateUnknown says nothing about the server, as when the caller has gone.
+	fateUnknown
+)
+
+// done says that a request which was placed has ended.
+func (f *fleet) done(id string, what fate, took, now time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[id]
+	if s == nil {
+		return
+	}
+	s.own = max(s.own-1, 0)
+	switch what {
+	case fateServed:
+		f.judge.Served(id)
+		if s.work == 0 {
+			s.work = took
+		}
+		s.work += (took - s.work) / workWeight
+	case fateFailed:
+		f.judge.Failed(id, now)
+	case fateUnreachable:
+		f.judge.Unreachable(id, now)
+	case fateRefused, fateUnknown:
+	}
+	f.table.Ended(id, now, place.Outcome{
+		Latency: took,
+		Refused: what == fateRefused,
+		Failed:  what == fateFailed || what == fateUnreachable,
+	})
+	if what == fateFailed || what == fateUnreachable {
+		f.refresh(now)
+	}
+}
+
+// first counts a request of a service towards the retry budget.
+func (f *fleet) first(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget(service).First()
+}
+
+// again says whether one more attempt for a request of a service may be made.
+func (f *fleet) again(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget(service).Retry()
+}
+
+func (f *fleet) budget(service string) *place.RetryBudget {
+	b := f.budgets[service]
+	if b == nil {
+		b = &place.RetryBudget{Ratio: f.bounds.retryRatio * retryShare}
+		f.budgets[service] = b
+	}
+	// What all entries may save up together is shared out among those that live.
+	b.Reserve = max(1, f.bounds.retrySlack*retryShare/float64(f.entries))
+	return b
+}
+
+// load is one server with this entry's requests there.
+type load struct {
+	id       string
+	inFlight int
+}
+
+// loads returns this entry's own requests at each server that has any.
+func (f *fleet) loads() []load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var loads []load
+	for id, s := range f.servers {
+		if s.own > 0 {
+			loads = append(loads, load{id, s.own})
+		}
+	}
+	return loads
+}
+
+// connections is the number of connections that this entry may have to a server.
+func (f *fleet) connections(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[id]
+	if s == nil || s.service.MaxConnections == 0 {
+		return 0
+	}
+	return max(1, s.service.MaxConnections/f.entries)
+}
+
+// usable says whether any backend server may get work.
+func (f *fleet) usable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		if !s.Draining {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) known(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servers[id] != nil
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/internal/result"
+)
+
+const (
+	// maxBeat bounds one beat, bytes; a datagram cannot be larger.
+	maxBeat = 64 << 10
+	// statePath is where an entry asks another for what it holds of the store.
+	statePath = "/state"
+	// stateTime bounds such a question.
+	stateTime = time.Second
+	// maxState bounds its answer, bytes: a configuration of hundreds of routes and
+	// registrations of thousands of servers.
+	maxState = 16 << 20
+
+	// topicMembers holds the entries, each under the name of its VM.
+	topicMembers = "keyed.members"
+	// membersEach is the time between two reads of the members. They are read at the start,
+	// and again for what beats cannot heal: two halves that never heard of each other.
+	membersEach = 20 * time.Second
+)
+
+// sendBeat sends a beat to other entries. Beats that do not arrive are not missed: the next
+// one says it all again.
+func (g *Gateway) sendBeat(b *api.PeerBeat, ips []string) {
+	data, err := proto.Marshal(b)
+	if err != nil || len(data) > maxBeat {
+		_ = level.Error(g.logger).Log("msg", "A beat cannot be sent.", "bytes", len(data), "err", err,
+			"result", result.Label(api.ResultCode_INTERNAL))
+		return
+	}
+	for _, ip := range ips {
+		addr, err := netip.ParseAddr(ip)
+		if err != nil {
+			continue
+		}
+		// The error is that of an unreachable VM; silence tells the same.
+		_, _ = g.socket.WriteToUDPAddrPort(data, netip.AddrPortFrom(addr, uint16(g.settings.PeerPort)))
+	}
+}
+
+// hear passes the beats of other entries to the control goroutine.
+func (g *Gateway) hear(ctx context.Context) error {
+	buf := make([]byte, maxBeat)
+	for {
+		n, _, err := g.socket.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			return errors.Wrap(err, "beats")
+		}
+		b := &api.PeerBeat{}
+		if err := proto.Unmarshal(buf[:n], b); err != nil {
+			_ = level.Warn(g.logger).Log("msg", "A beat cannot be read.", "bytes", n, "err", err,
+				"result", result.Label(api.ResultCode_BAD_REQUEST))
+			continue
+		}
+		select {
+		case g.beats <- b:
+		default:
+			// The control goroutine is behind; the next beat says the same, newer.
+		}
+	}
+}
+
+// serveState answers another entry with what this one holds of the store.
+func (g *Gateway) serveState(w http.ResponseWriter, r *http.Request) {
+	reply := make(chan *api.PeerState, 1)
+	select {
+	case g.stateRequests <- reply:
+	case <-r.Context().Done():
+		return
+	}
+	data, err := proto.Marshal(<-reply)
+	if err != nil {
+		result.WriteHTTP(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/protobuf")
+	_, _ = w.Write(data)
+}
+
+// fetchState asks another entry for what it holds of the store.
+func (g *Gateway) fetchState(ip string) {
+	state, err := g.askState(ip)
+	select {
+	case g.states <- fetched{from: ip, state: state, err: err}:
+	case <-g.stopped:
+	}
+}
+
+func (g *Gateway) askState(ip string) (*api.PeerState, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), stateTime)
+	defer cancel()
+	url := "http://" + g.peerAddress(ip) + statePath
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "state")
+	}
+	resp, err := g.peerClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "state")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("state: status %d", resp.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxState))
+	if err != nil {
+		return nil, errors.Wrap(err, "state")
+	}
+	state := &api.PeerState{}
+	if err := proto.Unmarshal(data, state); err != nil {
+		return nil, errors.Wrap(err, "state")
+	}
+	return state, nil
+}
+
+func (g *Gateway) peerAddress(ip string) string {
+	addr, err := netip.ParseAddr(ip)
+	if err != nil {
+		return ip
+	}
+	return netip.AddrPortFrom(addr, uint16(g.settings.PeerPort)).String()
+}
+
+// meet makes this entry known to the others through the store, and learns of them. Each
+// writes before it reads: of two that start at the same time one at least learns of the
+// other, and the first beat makes both known.
+func (g *Gateway) meet(ctx context.Context) error {
+	written := false
+	wait := time.Duration(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+		}
+		if !written {
+			written = g.writeMember(ctx)
+		}
+		wait = membersEach
+		if !written || !g.readMembers(ctx) {
+			wait = retryMost
+		}
+	}
+}
+
+func (g *Gateway) writeMember(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	if _, err := g.store.Put(ctx, topicMembers, g.settings.VM, []byte(g.settings.IP)); err != nil {
+		_ = level.Warn(g.logger).Log("msg", "The store did not take this entry's name.", "err", err,
+			"result", result.Label(api.ResultCode_LOG_UNAVAILABLE))
+		return false
+	}
+	return true
+}
+
+func (g *Gateway) readMembers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	listing, err := g.store.Newest(ctx, topicMembers)
+	if err != nil {
+		_ = level.Warn(g.logger).Log("msg", "The store did not tell the entries' names.", "err", err,
+			"result", result.Label(api.ResultCode_LOG_UNAVAILABLE))
+		return false
+	}
+	for _, r := range listing.Records {
+		if net.ParseIP(string(r.Value)) == nil {
+			continue
+		}
+		select {
+		case g.learned <- string(r.Value):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
--- a/internal/logging/sentences_test.go
+++ b/internal/logging/sentences_test.go
@@ -12,23 +12,37 @@
 
 // events are the sentences that tell of no failure. All others carry a result.
 var events = map[string]bool{
+	"A backend server did not register again.":                            true,
 	"A backend server is ordered to load.":                                true,
 	"A changed setting needs a restart.":                                  true,
+	"A configuration is in force.":                                        true,
+	"A failure domain was marked.":                                        true,
 	"A link stands.":                                                      true,
 	"A link to an agent outside the subset is let go of.":                 true,
 	"A newer link takes the place of an older one.":                       true,
+	"A registration is gone.":                                             true,
+	"A request was served.":                                               true,
 	"A setting has changed.":                                              true,
 	"Experts are moved to follow their popularity and the pace of ranks.": true,
+	"Readiness has changed.":                                              true,
 	"The agent has started.":                                              true,
 	"The agent has stopped.":                                              true,
 	"The agent is stopping. It takes nothing new.":                        true,
+	"The caller has gone.":                                                true,
 	"The engine answers again.":                                           true,
 	"The engine is to load another version.":                              true,
+	"The entries that serve have changed.":                                true,
 	"The entry has started.":                                              true,
 	"The entry has stopped.":                                              true,
 	"The entry is stopping. It has left the list of addresses.":           true,
+	"The log has dropped records; all keys are read anew.":                true,
+	"The process leaves.":                                                 true,
+	"The process starts.":                                                 true,
+	"The process stops.":                                                  true,
 	"The settings were read.":                                             true,
+	"The store answers again.":                                            true,
 	"This agent coordinates the group.":                                   true,
+	"Took what another entry holds.":                                      true,
 }
 
 // Operators look a failure up by its code. Each line of the shipped processes is either one
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,167 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrCrossed says that a connection brought an answer that belongs to no request.
+var ErrCrossed = errors.New("the answer belongs to another request")
+
+const (
+	// writeAside is the size of a body from which it is written beside reading the answer,
+	// bytes: a backend server may answer before it has read a long body, and a body up to
+	// this size fits into the socket's buffer.
+	writeAside = 16 << 10
+	// maxCrossed is the number of answers to other requests that are passed over on one
+	// connection.
+	maxCrossed = 4
+)
+
+// Conn is a connection to a backend server. It carries one request at a time.
+type Conn struct {
+	net.Conn
+	pool   *Pool
+	server string
+	br     *bufio.Reader
+	// reused says that an earlier request went over the connection.
+	reused    bool
+	idleSince time.Duration
+	// keep is how long the backend server lets the connection be idle.
+	keep time.Duration
+	// written carries the result of writing a long body.
+	written chan error
+}
+
+// Reused says that the connection has carried a request before, so that the backend server
+// may have closed it just now.
+func (c *Conn) Reused() bool { return c.reused }
+
+// RoundTrip writes a request once and reads the head of its answer. matches says whether an
+// answer is that of this request; others are passed over, since a faulty backend server may
+// answer twice. Once ctx ends the connection is closed. The caller reads the body and calls
+// Release.
+//
+// An error does not say that the request did not run.
+func (c *Conn) RoundTrip(ctx context.Context, req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	resp, err := c.roundTrip(req, matches)
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	resp.Body = &body{ReadCloser: resp.Body, stop: stop}
+	return resp, nil
+}
+
+// body ends the watch over the context with the body.
+type body struct {
+	io.ReadCloser
+	stop func() bool
+}
+
+func (b *body) Close() error {
+	b.stop()
+	// The library would read the rest of the body; what is not read is closed with the
+	// connection.
+	return nil
+}
+
+func (c *Conn) roundTrip(req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
+	c.written = make(chan error, 1)
+	if req.ContentLength > writeAside {
+		go func() { c.written <- c.write(req) }()
+	} else {
+		if err := c.write(req); err != nil {
+			return nil, err
+		}
+		c.written <- nil
+	}
+	for range maxCrossed {
+		resp, err := http.ReadResponse(c.br, req)
+		if err != nil {
+			return nil, errors.Wrap(err, "read answer")
+		}
+		if resp.StatusCode/100 == 1 {
+			continue
+		}
+		if matches(resp) {
+			return resp, nil
+		}
+		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			// Without a length it would swallow the answer behind it.
+			return nil, ErrCrossed
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, errors.Wrap(err, "pass over another answer")
+		}
+	}
+	return nil, ErrCrossed
+}
+
+func (c *Conn) write(req *http.Request) error {
+	bw := bufio.NewWriter(c.Conn)
+	if err := req.Write(bw); err != nil {
+		return errors.Wrap(err, "send request")
+	}
+	if err := bw.Flush(); err != nil {
+		return errors.Wrap(err, "send request")
+	}
+	return nil
+}
+
+// Release gives the connection back. It is kept for another request only when the answer
+// was read whole and the request was written whole, and the backend server keeps it too.
+func (c *Conn) Release(resp *http.Response, whole bool, keep time.Duration, now time.Duration) {
+	if resp == nil || !whole || resp.Close || c.br.Buffered() > 0 || !c.finished() {
+		c.drop()
+		return
+	}
+	c.reused = true
+	c.idleSince = now
+	c.keep = keep
+	c.pool.put(c)
+}
+
+// finished says that the request has been written whole.
+func (c *Conn) finished() bool {
+	select {
+	case err := <-c.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+func (c *Conn) drop() {
+	_ = c.Close()
+	c.pool.closed(c.server)
+}
+
+// quiet says that nothing has come in on an idle connection: neither its end nor bytes that
+// belong to no request.
+func (c *Conn) quiet() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var one [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, readErr := syscall.Read(int(fd), one[:])
+		quiet = readErr == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
