Plan few new experts at a time, by what their copies are worth

Cause: each change of maps took 1.2 to 1.8 s, since every rank copied up to 12 experts one after the other; popularity changes by half every four seconds, and half of that time the group ran with a skew of 3. Small gains were followed by another such change, which the next drift met half way.

Change: the plan weighs the time of the copies against the skew left, over the time for which a map fits; it stops at a skew of 1.2 while passes are short against the pauses that callers accept and at 1.03 while they are long; the group is held two passes ahead in place of five.

--- a/coord/mapswitch/mapswitch.go
+++ b/coord/mapswitch/mapswitch.go
@@ -76,8 +76,8 @@
 // Config holds the limits of a machine. A zero field takes its default.
 type Config struct {
 	// Lead is the number of passes between the last one begun and the one that is held.
-	// Default 5: with passes of some 50 ms the ranks have 250 ms to be armed, many times a
-	// round trip, so that the group rarely comes to stand.
+	// Default 2: passes take longer than the two round trips until the hold is let go, so
+	// that the group rarely comes to stand, and a slow group does not wait for its relief.
 	Lead int64
 	// Again is the time after which an order is given again when the rank does not report
 	// that it was carried out. Default 250 ms, above a report's age.
@@ -94,7 +94,7 @@
 // New returns a machine that has given no order.
 func New(cfg Config) *Machine {
 	if cfg.Lead == 0 {
-		cfg.Lead = 5
+		cfg.Lead = 2
 	}
 	if cfg.Again == 0 {
 		cfg.Again = 250 * time.Millisecond
--- a/decide/balance/layers.go
+++ b/decide/balance/layers.go
@@ -25,12 +25,38 @@
 	// as a generation takes, and the experts that a group's requests choose change with the
 	// requests.
 	Average time.Duration
-	// Gain is the least part by which the time for experts must get shorter for a change
-	// to be worth its copies and the pass that may have to wait. Default 0.02: the aim is a pass
-	// within a tenth of the ideal.
-	Gain float64
+	// Trigger is the skew past which a change of maps is looked for, Target the one at
+	// which the search stops, while passes are short against the pauses that callers
+	// accept. Defaults 1.35 and 1.2: callers notice no less, and each further step copies
+	// experts for little.
+	Trigger, Target float64
+	// PressedTrigger and PressedTarget are the same while passes are long, as in a burst:
+	// then each part of a pass decides whether streams are on time and requests wait.
+	// Defaults 1.12 and 1.03.
+	PressedTrigger, PressedTarget float64
+	// LoadTime is the time in which a rank copies one expert. Zero counts copies as free.
+	LoadTime time.Duration
+	// SwitchTime is the time of a change beside its copies. Default 150 ms: some passes.
+	SwitchTime time.Duration
+	// Horizon is how long a map is expected to fit. Default 2.5 s, the time in which
+	// popularity changes where it changes fast.
+	Horizon time.Duration
 }
 
+func (c LayersConfig) withDefaults() LayersConfig {
+	setFloat(&c.Trigger, 1.35)
+	setFloat(&c.Target, 1.2)
+	setFloat(&c.PressedTrigger, 1.12)
+	setFloat(&c.PressedTarget, 1.03)
+	setTime(&c.Average, time.Second)
+	setTime(&c.SwitchTime, 150*time.Millisecond)
+	setTime(&c.Horizon, 2500*time.Millisecond)
+	return c
+}
+
+// loadBurden is the part by which passes take longer while ranks copy experts.
+const loadBurden = 0.15
+
 // Layers plans the expert maps of a group whose layers come in sets, each with experts of
 // its own. A pass goes through the sets one after the other, and in each of them waits for
 // the busiest rank.
@@ -42,12 +68,7 @@
 
 // NewLayers returns a plan for a group of which nothing is known yet.
 func NewLayers(shape Shape, cfg LayersConfig) (*Layers, error) {
-	if cfg.Average == 0 {
-		cfg.Average = time.Second
-	}
-	if cfg.Gain == 0 {
-		cfg.Gain = 0.02
-	}
+	cfg = cfg.withDefaults()
 	l := &Layers{shape: shape, cfg: cfg}
 	for range shape.Sets {
 		p, err := NewPlacement(shape.Experts, shape.Ranks, shape.Slots)
@@ -68,38 +89,80 @@
 	}
 }
 
-// Plan returns the maps to change to from those in use, by set of layers, and the part by
-// which they make the time for experts shorter; nil when no change is worth it.
+// Change is a change of maps.
+type Change struct {
+	// Maps are the maps to change to, by set of layers.
+	Maps []LayerMap
+	// Before and After are the skews of the maps in use and of those to change to.
+	Before, After float64
+	// Loads is the most experts that one rank copies.
+	Loads int
+}
+
+// Plan returns the change to make from the maps in use, or nil when none is worth it.
+// pressed says that passes are long against the pauses that callers accept.
 //
-// Load: a popularity that a few seconds change by half, and ranks that take few new experts
-// in one change. Harm prevented: waiting for the perfect map while the group is slow. Each
-// change takes the steps that help most, and the next one goes on from there.
-func (l *Layers) Plan(current []LayerMap) ([]LayerMap, float64) {
-	if len(current) != l.shape.Sets {
-		return nil, 0
+// Load: a popularity of which half changes within a few seconds, and ranks that take a tenth
+// of a second for each expert that is new to them. Harm prevented: waiting for the perfect
+// map while the group is slow. Ranks with one new expert each are ready soon, and that is
+// most of the relief; how many are worth their time is weighed over the horizon.
+func (l *Layers) Plan(current []LayerMap, pressed bool) *Change {
+	trigger, target := l.cfg.Trigger, l.cfg.Target
+	if pressed {
+		trigger, target = l.cfg.PressedTrigger, l.cfg.PressedTarget
 	}
-	before, after := 0.0, 0.0
-	next := make([]LayerMap, len(current))
-	for i, set := range l.sets {
-		if !set.seen || len(current[i]) != l.shape.Ranks {
-			return nil, 0
+	before := l.Skew(current)
+	if before <= trigger {
+		return nil
+	}
+	var best *Change
+	cost := before * l.cfg.Horizon.Seconds()
+	for quota := 1; quota <= max(l.shape.Spare, 1); quota++ {
+		c := l.within(current, target, min(quota, l.shape.Spare))
+		if c == nil {
+			return nil
+		}
+		c.Before = before
+		if spent := l.cost(c); spent < cost {
+			best, cost = c, spent
 		}
+	}
+	return best
+}
+
+// cost is the time that passes spend on experts over the horizon, in that of passes with
+// evenly busy ranks.
+func (l *Layers) cost(c *Change) float64 {
+	ready := time.Duration(c.Loads)*l.cfg.LoadTime + l.cfg.SwitchTime
+	ready = min(ready, l.cfg.Horizon)
+	return ready.Seconds()*c.Before*(1+loadBurden) + (l.cfg.Horizon-ready).Seconds()*c.After
+}
+
+// within plans a change in which no rank takes more than quota new experts in a set; zero
+// means no bound.
+func (l *Layers) within(current []LayerMap, target float64, quota int) *Change {
+	c := &Change{Maps: make([]LayerMap, len(current))}
+	loads := make([]int, l.shape.Ranks)
+	for i, set := range l.sets {
 		// The additional expert stands in the slots that are free, and nobody chooses it.
 		d := Demand{Popularity: append(slices.Clone(set.Popularity()), 0)}
 		from, ok := l.placement(current[i])
 		if !ok {
-			return nil, 0
+			return nil
+		}
+		to := ImproveWithin(from, d, target, len(from.Slots), quota)
+		c.Maps[i] = l.layerMap(to)
+		c.After += d.Stretch(to) / float64(len(l.sets))
+		for rank, experts := range c.Maps[i] {
+			for _, expert := range experts {
+				if !slices.Contains(current[i][rank], expert) {
+					loads[rank]++
+				}
+			}
 		}
-		to := ImproveWithin(from, d, 1, len(from.Slots), l.shape.Spare)
-		before += d.Stretch(from)
-		after += d.Stretch(to)
-		next[i] = l.layerMap(to)
-	}
-	gain := 1 - after/before
-	if gain < l.cfg.Gain {
-		return nil, gain
 	}
-	return next, gain
+	c.Loads = slices.Max(loads)
+	return c
 }
 
 // Skew is the time that a pass spends on experts with the given maps, against the time if
@@ -107,7 +170,7 @@
 func (l *Layers) Skew(current []LayerMap) float64 {
 	sum := 0.0
 	for i, set := range l.sets {
-		if i >= len(current) || !set.seen {
+		if i >= len(current) || !set.seen || len(current[i]) != l.shape.Ranks {
 			return 1
 		}
 		p, ok := l.placement(current[i])
--- a/decide/balance/layers_test.go
+++ b/decide/balance/layers_test.go
@@ -52,12 +52,12 @@
 		maps := inTurn(shape)
 		changes := 0
 		for ; ; changes++ {
-			next, _ := l.Plan(maps)
-			if next == nil {
+			change := l.Plan(maps, true)
+			if change == nil {
 				break
 			}
-			checkChange(t, shape, maps, next)
-			maps = next
+			checkChange(t, shape, maps, change.Maps)
+			maps = change.Maps
 		}
 		if changes > 5 {
 			t.Errorf("seed %d: %d changes", seed, changes)
@@ -103,8 +103,50 @@
 		even[i] = 100 + float64(i%2)
 	}
 	l.Observe(time.Second, [][]float64{even})
-	if next, gain := l.Plan(inTurn(shape)); next != nil {
-		t.Errorf("a change for a gain of %.3f", gain)
+	if change := l.Plan(inTurn(shape), true); change != nil {
+		t.Errorf("a change from %.3f to %.3f", change.Before, change.After)
+	}
+}
+
+// Copying takes time, and popularity changes every few seconds. A group of which a pass takes
+// several times the ideal gets most of its relief from one new expert a rank, and is not kept
+// waiting for three; with copies that cost nothing it takes all at once.
+func TestPlanWeighsCopiesAgainstTime(t *testing.T) {
+	shape := Shape{Sets: 4, Experts: 72, Ranks: 12, Slots: 8, Spare: 3}
+	rng := rand.New(rand.NewPCG(3, 1))
+	counts := make([][]float64, shape.Sets)
+	for i := range counts {
+		counts[i] = zipf(rng, shape.Experts, 1.3)
+	}
+	loads := func(each time.Duration) int {
+		l, err := NewLayers(shape, LayersConfig{LoadTime: each})
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Observe(time.Second, counts)
+		return l.Plan(inTurn(shape), true).Loads
+	}
+	if slow, free := loads(100*time.Millisecond), loads(0); slow > shape.Sets || free <= slow {
+		t.Errorf("a rank copies %d experts at 100 ms each, %d for nothing", slow, free)
+	}
+}
+
+// While passes are short, callers notice nothing of a moderate skew, and no expert is copied
+// for it; while they are long, it is worth a change.
+func TestPlanUnderPressure(t *testing.T) {
+	shape := Shape{Sets: 1, Experts: 24, Ranks: 6, Slots: 6, Spare: 3}
+	l, err := NewLayers(shape, LayersConfig{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	counts := make([]float64, shape.Experts)
+	for i := range counts {
+		counts[i] = 100
+	}
+	counts[0] = 230
+	l.Observe(time.Second, [][]float64{counts})
+	if l.Plan(inTurn(shape), false) != nil || l.Plan(inTurn(shape), true) == nil {
+		t.Errorf("skew %.2f: a change without pressure, or none with it", l.Skew(inTurn(shape)))
 	}
 }
 
@@ -117,7 +159,7 @@
 	}
 	l.Observe(time.Second, [][]float64{zipf(rand.New(rand.NewPCG(1, 1)), 24, 1.3)})
 	for _, maps := range [][]LayerMap{nil, {}, {{{0}, {1}}}, {{{99}, {0}, {0}, {0}, {0}, {0}}}} {
-		if next, _ := l.Plan(maps); next != nil {
+		if l.Plan(maps, true) != nil {
 			t.Errorf("%v was planned from", maps)
 		}
 	}
--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -31,7 +31,7 @@
 const (
 	// lookEach is the time between two looks at the engines: often enough to follow a
 	// popularity that changes within seconds.
-	lookEach = 250 * time.Millisecond
+	lookEach = 200 * time.Millisecond
 	// busyEach is the same while a group is being switched, and may have to wait for it.
 	busyEach = 30 * time.Millisecond
 	// askTime bounds one question to all engines together.
@@ -60,6 +60,9 @@
 	// Address is where it takes requests.
 	Address string
 	Shape   *routing.Engine
+	// Pause is the longest pause between two events that callers of its service accept;
+	// zero for unknown.
+	Pause time.Duration
 }
 
 // Beliefs is what a coordinator goes by.
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -12,6 +12,7 @@
 	"github.com/apricothub/apricothub/decide/balance"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/ranks"
+	"github.com/apricothub/apricothub/internal/routing"
 )
 
 // rounds bounds the orders that follow each other at one look: a switch takes three rounds,
@@ -37,6 +38,11 @@
 	plan   []balance.LayerMap
 	// began is when the target was set.
 	began time.Duration
+	// pass is the time of a pass, pause the longest one between events that callers accept.
+	pass, pause time.Duration
+	// step is the last pass begun that was reported, at lookedAt.
+	step     int64
+	lookedAt time.Duration
 }
 
 type heldExperts struct {
@@ -66,6 +72,7 @@
 		return false
 	}
 	slices.SortFunc(members, func(a, b *member) int { return int(a.reply.GetState().GetRank() - b.reply.GetState().GetRank()) })
+	g.measure(members, now)
 	g.observe(members, now)
 	current := g.current(members)
 	if g.target == 0 && current != nil {
@@ -82,12 +89,13 @@
 	if g.epoch != state.GetEpoch() {
 		g.epoch = state.GetEpoch()
 		g.target, g.plan = 0, nil
+		g.pass, g.lookedAt, g.step = 0, 0, 0
 		clear(g.held)
 	}
 	if g.layers != nil && g.shape == shape {
 		return true
 	}
-	layers, err := balance.NewLayers(shape, balance.LayersConfig{})
+	layers, err := balance.NewLayers(shape, balance.LayersConfig{LoadTime: loadTime(e)})
 	if err != nil {
 		return false
 	}
@@ -95,6 +103,44 @@
 	return true
 }
 
+// loadTime is the time in which a rank copies one expert.
+func loadTime(e *routing.Engine) time.Duration {
+	if e.LinkMbps <= 0 {
+		return 0
+	}
+	const bitsPerByte = 8
+	return time.Duration(e.ExpertMB * bitsPerByte / e.LinkMbps * float64(time.Second))
+}
+
+// pressedPart is the part of the pause that callers accept from which on a pass is long:
+// beyond it a few more requests, or a little more skew, make streams late.
+const pressedPart = 0.6
+
+// pressed says that passes are long against the pauses that callers accept.
+func (g *group) pressed() bool {
+	return g.pause > 0 && float64(g.pass) > pressedPart*float64(g.pause)
+}
+
+// passWeight is the weight of the newest look in the average time of a pass.
+const passWeight = 0.5
+
+// measure follows the time of a pass.
+func (g *group) measure(members []*member, now time.Duration) {
+	g.pause = members[0].engine.Pause
+	step := members[0].reply.GetState().GetStep()
+	passes := step - g.step
+	if g.lookedAt > 0 && passes > 0 {
+		each := (now - g.lookedAt) / time.Duration(passes)
+		if g.pass == 0 {
+			g.pass = each
+		}
+		g.pass += time.Duration(passWeight * float64(each-g.pass))
+	}
+	if passes != 0 {
+		g.step, g.lookedAt = step, now
+	}
+}
+
 // observe sums what all ranks' requests chose since the last look.
 func (g *group) observe(members []*member, now time.Duration) {
 	sums := make([][]float64, g.shape.Sets)
@@ -153,13 +199,14 @@
 
 // choose sets a target when a change of maps is worth it.
 func (g *group) choose(current []balance.LayerMap, now time.Duration) {
-	next, gain := g.layers.Plan(current)
-	if next == nil {
+	change := g.layers.Plan(current, g.pressed())
+	if change == nil {
 		return
 	}
-	g.target, g.plan, g.began = g.c.version(), next, now
+	g.target, g.plan, g.began = g.c.version(), change.Maps, now
 	_ = level.Info(g.c.logger).Log("msg", "Experts are moved to follow their popularity.", "group", g.name, "epoch", g.epoch,
-		"version", g.target, "gain", gain, "skew", g.layers.Skew(current), "skew_after", g.layers.Skew(next), "fence", g.c.fence)
+		"version", g.target, "pass", g.pass, "pressed", g.pressed(), "skew", change.Before, "skew_after", change.After,
+		"loads", change.Loads, "fence", g.c.fence)
 }
 
 // drive gives the orders that are next, and goes on with what the ranks answer.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -264,7 +264,7 @@
 		if service == nil || service.Engine == nil || service.Engine.Experts == 0 {
 			continue
 		}
-		engines = append(engines, experts.Engine{ID: e.ID, Address: e.Address, Shape: service.Engine})
+		engines = append(engines, experts.Engine{ID: e.ID, Address: e.Address, Shape: service.Engine, Pause: c.table.Pause(e.Service)})
 	}
 	return engines
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -162,6 +162,7 @@
 	hosts    map[string][]*Route
 	services map[string]*Service
 	keys     map[string]*Team
+	pauses   map[string]time.Duration
 	teams    int
 }
 
@@ -173,12 +174,18 @@
 		hosts:    make(map[string][]*Route),
 		services: make(map[string]*Service, len(cfg.Services)),
 		keys:     make(map[string]*Team),
+		pauses:   make(map[string]time.Duration),
 		teams:    len(cfg.Teams),
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
+		for _, target := range r.Targets {
+			if known := t.pauses[target.Service]; r.Pause > 0 && (known == 0 || r.Pause < known) {
+				t.pauses[target.Service] = r.Pause
+			}
+		}
 	}
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
@@ -211,6 +218,10 @@
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Pause returns the shortest pause that callers of a service's streams accept between two
+// events; zero when no route says.
+func (t *Table) Pause(service string) time.Duration { return t.pauses[service] }
+
 // Services returns all services.
 func (t *Table) Services() map[string]*Service { return t.services }
 
