Keep the duty for expert maps with the entry that has it

The one that coordinated stopped at once, in the middle of a change at a skew of 3; the next one began 1.1 s later, and gave the duty back as soon as the first one had returned.

Change: beats carry the coordinator's fencing number; the live entry with the highest one keeps the duty, and an entry that leaves goes on until another one has followed, by its beats or by engines that refuse the number.

--- a/coord/peering/peering.go
+++ b/coord/peering/peering.go
@@ -127,6 +127,29 @@
 	return beats
 }
 
+// Coordinator returns the IP of the entry that is to coordinate, out of this one and the
+// live ones; empty when none serves. All entries that hear the same beats find the same one.
+//
+// Load: entries that are stopped and started in turn, each of which would be the first one
+// again when it is back. Harm prevented: the duty changes hands with each of them, and
+// nobody does it meanwhile. Whoever has it keeps it while it serves: the one with the
+// highest fencing number, since one with a lower number has been followed by another.
+func Coordinator(self *api.PeerBeat, live []*api.PeerBeat) string {
+	var best *api.PeerBeat
+	for _, b := range append([]*api.PeerBeat{self}, live...) {
+		if !b.GetServing() || b.GetLeaving() {
+			continue
+		}
+		switch {
+		case best == nil, b.GetFence() > best.GetFence():
+			best = b
+		case b.GetFence() == best.GetFence() && b.GetIp() < best.GetIp():
+			best = b
+		}
+	}
+	return best.GetIp()
+}
+
 // interval is the time between two beats to an entry that is heard.
 //
 // Load: hundreds of entries. Harm prevented: beats from all to all that grow with their
--- a/coord/peering/peering_test.go
+++ b/coord/peering/peering_test.go
@@ -81,3 +81,31 @@
 		t.Errorf("%d beats due to an entry never heard", n)
 	}
 }
+
+func TestCoordinator(t *testing.T) {
+	entry := func(ip string, fence int64) *api.PeerBeat {
+		return &api.PeerBeat{Ip: ip, Fence: fence, Serving: true}
+	}
+	leaving := entry("a", 9)
+	leaving.Leaving = true
+	starting := entry("a", 0)
+	starting.Serving = false
+	for _, c := range []struct {
+		name string
+		self *api.PeerBeat
+		live []*api.PeerBeat
+		want string
+	}{
+		{"alone", entry("b", 0), nil, "b"},
+		{"the first of several that start", entry("b", 0), []*api.PeerBeat{entry("c", 0), entry("a", 0)}, "a"},
+		{"one that returns does not take over", entry("a", 0), []*api.PeerBeat{entry("b", 4), entry("c", 0)}, "b"},
+		{"of two, the one that followed", entry("a", 3), []*api.PeerBeat{entry("b", 4)}, "b"},
+		{"one that leaves is followed", entry("b", 0), []*api.PeerBeat{leaving, entry("c", 0)}, "b"},
+		{"one that does not serve yet", starting, []*api.PeerBeat{entry("c", 0)}, "c"},
+		{"none serves", starting, nil, ""},
+	} {
+		if got := Coordinator(c.self, c.live); got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -40,7 +41,7 @@
 	fenceTime = time.Second
 	// settleTime is how long an entry must be the one to coordinate before it begins: those
 	// that start or return at the same time do not take turns.
-	settleTime = 700 * time.Millisecond
+	settleTime = 300 * time.Millisecond
 	// restTime is how long it does nothing after engines refused its number: another one
 	// coordinates.
 	restTime = 3 * time.Second
@@ -69,6 +70,9 @@
 type Beliefs interface {
 	// Coordinates says whether this entry is the one to coordinate.
 	Coordinates() bool
+	// Leaving says that this entry is stopping and that no other one coordinates yet: it
+	// goes on coordinating until then.
+	Leaving() bool
 	// Engines returns the engines that have experts.
 	Engines() []Engine
 }
@@ -84,7 +88,7 @@
 
 	// fence is this coordinator's number, zero for none; since is when it became the one to
 	// coordinate, restUntil when it may ask for a number again.
-	fence     int64
+	fence     atomic.Int64
 	since     time.Duration
 	chosen    bool
 	restUntil time.Duration
@@ -124,12 +128,20 @@
 	}
 }
 
+// Fence is the number with which this entry coordinates, zero when it does not. It may be
+// called by any goroutine.
+func (c *Coordinator) Fence() int64 { return c.fence.Load() }
+
 // ready says whether this entry coordinates and has a number for it.
+//
+// An entry that leaves goes on until engines refuse its number: the one that follows it needs
+// a moment for a number of its own, and popularity does not wait.
 func (c *Coordinator) ready(ctx context.Context) bool {
 	now := clock.Now()
-	if !c.beliefs.Coordinates() {
-		if c.fence != 0 {
-			_ = level.Info(c.logger).Log("msg", "This entry no longer coordinates the expert maps.", "fence", c.fence)
+	followed := c.fenced && c.beliefs.Leaving()
+	if followed || !c.beliefs.Coordinates() && !(c.beliefs.Leaving() && c.fence.Load() != 0) {
+		if c.fence.Load() != 0 {
+			_ = level.Info(c.logger).Log("msg", "This entry no longer coordinates the expert maps.", "fence", c.fence.Load())
 		}
 		c.resign()
 		c.chosen = false
@@ -140,7 +152,7 @@
 		c.since = now
 	}
 	if c.fenced {
-		_ = level.Warn(c.logger).Log("msg", "Engines follow another coordinator.", "fence", c.fence,
+		_ = level.Warn(c.logger).Log("msg", "Engines follow another coordinator.", "fence", c.fence.Load(),
 			"result", result.Label(api.ResultCode_CONFLICT))
 		c.resign()
 		c.restUntil = now + restTime
@@ -148,7 +160,7 @@
 	if now-c.since < settleTime || now < c.restUntil || len(c.beliefs.Engines()) == 0 {
 		return false
 	}
-	if c.fence != 0 {
+	if c.fence.Load() != 0 {
 		return true
 	}
 	callCtx, cancel := context.WithTimeout(ctx, fenceTime)
@@ -160,14 +172,14 @@
 		c.restUntil = now + restTime
 		return false
 	}
-	c.fence = offset + 1
-	_ = level.Info(c.logger).Log("msg", "This entry coordinates the expert maps.", "fence", c.fence)
+	c.fence.Store(offset + 1)
+	_ = level.Info(c.logger).Log("msg", "This entry coordinates the expert maps.", "fence", c.fence.Load())
 	return true
 }
 
 // resign forgets what belongs to the number.
 func (c *Coordinator) resign() {
-	c.fence = 0
+	c.fence.Store(0)
 	c.fenced = false
 	c.groups = make(map[string]*group)
 }
@@ -179,7 +191,7 @@
 // look alike to the ranks.
 func (c *Coordinator) version() int64 {
 	c.versions++
-	return c.fence*versionsPerFence + c.versions
+	return c.fence.Load()*versionsPerFence + c.versions
 }
 
 // look reads all engines and does for each group what is next. It returns whether a group is
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -206,7 +206,7 @@
 	g.target, g.plan, g.began = g.c.version(), change.Maps, now
 	_ = level.Info(g.c.logger).Log("msg", "Experts are moved to follow their popularity.", "group", g.name, "epoch", g.epoch,
 		"version", g.target, "pass", g.pass, "pressed", g.pressed(), "skew", change.Before, "skew_after", change.After,
-		"loads", change.Loads, "fence", g.c.fence)
+		"loads", change.Loads, "fence", g.c.fence.Load())
 }
 
 // drive gives the orders that are next, and goes on with what the ranks answer.
@@ -249,7 +249,7 @@
 	}
 	g.target, g.plan, g.began = g.c.version(), current, clock.Now()
 	_ = level.Info(g.c.logger).Log("msg", "The expert map is given a new version.", "group", g.name, "epoch", g.epoch,
-		"version", g.target, "fence", g.c.fence)
+		"version", g.target, "fence", g.c.fence.Load())
 }
 
 // order gives orders to the ranks, all at once, and takes in their answers.
@@ -270,9 +270,9 @@
 		if !ok {
 			return nil
 		}
-		sent := ranks.OrderToWire(o, g.c.fence, nil)
+		sent := ranks.OrderToWire(o, g.c.fence.Load(), nil)
 		if o.Kind == mapswitch.Prepare {
-			sent = ranks.OrderToWire(o, g.c.fence, layers)
+			sent = ranks.OrderToWire(o, g.c.fence.Load(), layers)
 		}
 		return &api.RankRequest{Order: sent}
 	})
@@ -285,7 +285,7 @@
 			members[rank].reply.State = reply.GetState()
 		}
 		_ = level.Info(g.c.logger).Log("msg", "A rank was given an order.", "group", g.name, "rank", rank, "kind", o.Kind,
-			"version", o.Version, "step", o.Step, "epoch", o.Epoch, "fence", g.c.fence, "outcome", reply.GetResult())
+			"version", o.Version, "step", o.Step, "epoch", o.Epoch, "fence", g.c.fence.Load(), "outcome", reply.GetResult())
 	}
 }
 
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -42,7 +42,9 @@
 	// coordinates says that this entry is the one to coordinate expert maps, engines are the
 	// engines that have experts.
 	coordinates bool
-	engines     []experts.Engine
+	// followed says that another entry coordinates with a higher number.
+	followed bool
+	engines  []experts.Engine
 	// configAt is when the configuration was last known to be the newest, storeAt when the
 	// registrations were.
 	configAt, serversAt time.Duration
@@ -229,15 +231,17 @@
 		table: c.table, entries: len(live) + 1, ready: ready,
 		configAt: c.operatorsAt, serversAt: c.serversAt,
 	}
-	v.coordinates = ready
 	for _, b := range live {
 		if b.GetServing() {
 			v.addresses = append(v.addresses, b.GetCallersAddress())
-			// All entries find the same one, from the same beats.
-			v.coordinates = v.coordinates && c.g.settings.IP < b.GetIp()
 		}
 	}
-	if v.coordinates {
+	self := &api.PeerBeat{Ip: c.g.settings.IP, Serving: ready, Leaving: c.g.leaving.Load(), Fence: c.g.experts.Fence()}
+	v.coordinates = peering.Coordinator(self, live) == c.g.settings.IP
+	for _, b := range live {
+		v.followed = v.followed || b.GetFence() > self.GetFence()
+	}
+	if c.table != nil && (v.coordinates || self.GetFence() != 0) {
 		v.engines = c.engines()
 	}
 	if ready {
@@ -351,7 +355,7 @@
 		Vm: c.g.settings.VM, FailureDomain: c.g.settings.FailureDomain, Ip: c.g.settings.IP,
 		Incarnation: c.g.incarnation, Sequence: c.sequence, CallersAddress: c.g.settings.Listen.Callers,
 		Serving: c.g.view.Load().ready, Leaving: c.g.leaving.Load(),
-		OperatorsNext: c.operators.Next(), ServersNext: c.servers.Next(),
+		OperatorsNext: c.operators.Next(), ServersNext: c.servers.Next(), Fence: c.g.experts.Fence(),
 	}
 	for _, l := range c.g.fleet.loads() {
 		b.Loads = append(b.Loads, &api.ServerLoad{Id: l.id, InFlight: uint32(l.inFlight)})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,7 @@
 	fleet       *fleet
 	pool        *upstream.Pool
 	metrics     *counters
+	experts     *experts.Coordinator
 	socket      *net.UDPConn
 	peerClient  *http.Client
 
@@ -82,7 +83,7 @@
 		DisableCompression:    true,
 		ResponseHeaderTimeout: operatorsWait + answerTime,
 	}
-	return &Gateway{
+	g := &Gateway{
 		settings: s, logger: logger, incarnation: rand.Uint64(),
 		store: platform.NewStore(s.Store.Address, transport),
 		fleet: newFleet(bounds{
@@ -103,6 +104,8 @@
 		leave:         make(chan struct{}),
 		stopped:       make(chan struct{}),
 	}
+	g.experts = experts.New(s.VM, s.PeerPort, g, g.store, logging.Part(logger, "experts"))
+	return g
 }
 
 // Run serves until ctx ends, and then stops gracefully.
@@ -127,7 +130,7 @@
 	add(g.hear)
 	add(g.meet)
 	add(g.sweep)
-	add(experts.New(s.VM, s.PeerPort, g, g.store, logging.Part(logger, "experts")).Run)
+	add(g.experts.Run)
 	group.Add(func() error { return g.serveAll(ctx) }, func(error) { cancel() })
 	err := group.Run()
 	_ = g.socket.Close()
@@ -141,7 +144,13 @@
 // Coordinates implements experts.Beliefs.
 func (g *Gateway) Coordinates() bool {
 	v := g.view.Load()
-	return v != nil && v.coordinates && !g.leaving.Load()
+	return v != nil && v.coordinates
+}
+
+// Leaving implements experts.Beliefs.
+func (g *Gateway) Leaving() bool {
+	v := g.view.Load()
+	return g.leaving.Load() && v != nil && !v.followed
 }
 
 // Engines implements experts.Beliefs.
