Ask an engine directly while the process beside it is silent, and trust it less

Cause: a VM that stands still kept the whole group from being switched, since its rank told nothing. Asked from afar an engine tells of some hundred milliseconds ago. A simulation with such reports found two maps in one pass within 10,000 runs: a rank disarmed by a late report after the hold was let go, and ranks disarmed for a pass at which nothing held the group when an order to hold a later one arrived late.

Change: late reports arm and nothing else; a rank that was armed by its answer counts. Ranks armed for a pass before the held one are never disarmed; the group is held at that pass by a rank that holds no other.

Ruled out: letting the hold go with a late report of being armed.

--- a/coord/mapswitch/mapswitch.go
+++ b/coord/mapswitch/mapswitch.go
@@ -41,6 +41,9 @@
 	// Armed and Held are nil for none. Held is the pass at which the rank holds the group.
 	Armed *Arming
 	Held  *int64
+	// Late says that the report may be of some moments ago, as when the rank was asked from
+	// afar. A rank that has since answered an order to arm it is Armed and not Late.
+	Late bool
 }
 
 // Kind says what an order does.
@@ -118,12 +121,13 @@
 	if len(ranks) == 0 || !sameEpoch(ranks) {
 		return Decision{Busy: true}
 	}
-	if holder := lowestHold(ranks); holder >= 0 {
-		return m.finish(now, ranks, holder, target)
-	}
-	if arming := anyArmed(ranks); arming != nil {
+	holder, arming := lowestHold(ranks), firstArmed(ranks)
+	if arming != nil && (holder < 0 || arming.Step < *ranks[holder].Held) {
 		return m.armedWithoutHold(now, ranks, *arming)
 	}
+	if holder >= 0 {
+		return m.finish(now, ranks, holder, target)
+	}
 	if target == 0 || allUse(ranks, target) {
 		return Decision{}
 	}
@@ -176,7 +180,9 @@
 	}
 	armed := 0
 	for rank, s := range ranks {
-		if s.Armed != nil {
+		// Safeguard: a late report does not count. The rank may have been disarmed since,
+		// and would go on with the old map when the hold is let go.
+		if s.Armed != nil && !s.Late {
 			armed++
 			continue
 		}
@@ -189,8 +195,16 @@
 }
 
 // reconcile brings the ranks of a held group to one prepared version.
+//
+// Safeguard: nobody is disarmed by late reports. They may be of a time before all ranks were
+// armed, and the hold may have been let go since: the one rank would go on with the old map.
 func (m *Machine) reconcile(now time.Duration, ranks []Status, target int64) Decision {
 	d := Decision{Busy: true}
+	for _, s := range ranks {
+		if s.Late {
+			return d
+		}
+	}
 	for rank, s := range ranks {
 		if s.Armed != nil {
 			d.Orders = m.give(d.Orders, now, Order{Rank: rank, Kind: Disarm, Version: s.Armed.Version, Epoch: s.Epoch})
@@ -208,16 +222,30 @@
 	return d
 }
 
-// armedWithoutHold watches over ranks that are armed while nothing holds the group. All of
-// them armed alike is the usual way: the hold was let go, and the pass is still ahead.
-// Otherwise the group is held at once at the pass in question, where it may still be in
-// time.
+// armedWithoutHold watches over ranks that are armed for a pass at which nothing holds the
+// group. All of them armed alike is the usual way: the hold was let go, and the pass is still
+// ahead. Otherwise the group is held at once at the pass in question, where it may still be
+// in time.
+//
+// Safeguard: nobody is disarmed, also when the group is held at a later pass, as by an order
+// that arrived late: the pass may begin at any moment.
 func (m *Machine) armedWithoutHold(now time.Duration, ranks []Status, arming Arming) Decision {
 	d := Decision{Busy: true}
 	for _, s := range ranks {
 		switched := s.Armed == nil && s.Map == arming.Version
 		if !switched && (s.Armed == nil || *s.Armed != arming) {
-			d.Orders = m.give(d.Orders, now, Order{Rank: 0, Kind: Hold, Step: arming.Step, Epoch: ranks[0].Epoch})
+			return m.holdFreeRank(now, ranks, arming.Step)
+		}
+	}
+	return d
+}
+
+// holdFreeRank holds the group at a pass by a rank that does not hold it at another one.
+func (m *Machine) holdFreeRank(now time.Duration, ranks []Status, step int64) Decision {
+	d := Decision{Busy: true}
+	for rank, s := range ranks {
+		if s.Held == nil {
+			d.Orders = m.give(d.Orders, now, Order{Rank: rank, Kind: Hold, Step: step, Epoch: s.Epoch})
 			return d
 		}
 	}
@@ -280,13 +308,15 @@
 	return holder
 }
 
-func anyArmed(ranks []Status) *Arming {
+// firstArmed returns what is armed for the lowest pass, or nil.
+func firstArmed(ranks []Status) *Arming {
+	var first *Arming
 	for _, s := range ranks {
-		if s.Armed != nil {
-			return s.Armed
+		if s.Armed != nil && (first == nil || s.Armed.Step < first.Step) {
+			first = s.Armed
 		}
 	}
-	return nil
+	return first
 }
 
 func allUse(ranks []Status, version int64) bool {
--- a/coord/mapswitch/sim_test.go
+++ b/coord/mapswitch/sim_test.go
@@ -32,6 +32,8 @@
 	now     int
 	epochs  int64
 	history []string
+	// past are the reports of the last steps, newest last.
+	past [][]Status
 }
 
 func (s *sim) note(format string, args ...any) {
@@ -144,6 +146,23 @@
 	return out
 }
 
+// seen returns what a coordinator sees: the reports of this moment, but for one rank that is
+// asked from afar and tells of a moment ago.
+func (s *sim) seen() []Status {
+	now := s.statuses()
+	s.past = append(s.past, now)
+	s.past = s.past[max(0, len(s.past)-4):]
+	far := rapid.IntRange(0, 3*len(now)).Draw(s.t, "far")
+	if far >= len(now) {
+		return now
+	}
+	old := s.past[rapid.IntRange(0, len(s.past)-1).Draw(s.t, "age")]
+	seen := append([]Status(nil), now...)
+	seen[far] = old[far]
+	seen[far].Late = true
+	return seen
+}
+
 // simCoordinator drives a machine. Several may believe that they coordinate.
 type simCoordinator struct {
 	machine *Machine
@@ -158,27 +177,56 @@
 }
 
 // step lets a coordinator look and give its orders, each of which is carried out at once or
-// late, or is lost; some late ones were carried out at once as well.
+// late, or is lost. It goes on with the answers that it gets.
 func (s *sim) step(c *simCoordinator) {
-	d := c.machine.Next(time.Duration(s.now)*100*time.Millisecond, s.statuses(), c.target)
-	if d.Renew {
-		c.renew()
-	}
-	for _, o := range d.Orders {
-		order := simOrder{Order: o, fence: c.fence, content: c.fence}
-		switch rapid.IntRange(0, 9).Draw(s.t, "fate") {
-		case 0:
-			s.note("fence %d lost %v", c.fence, o)
-		case 1, 2:
-			order.due = s.now + rapid.IntRange(1, 40).Draw(s.t, "late")
-			s.flying = append(s.flying, order)
-			s.note("fence %d late %v, at %d", c.fence, o, order.due)
-		default:
-			s.note("fence %d %v: %v", c.fence, o, s.apply(order))
+	seen := s.seen()
+	for range 3 {
+		d := c.machine.Next(time.Duration(s.now)*100*time.Millisecond, seen, c.target)
+		if d.Renew {
+			c.renew()
+		}
+		if len(d.Orders) == 0 {
+			return
+		}
+		for _, o := range d.Orders {
+			if s.send(c, o) {
+				seen[o.Rank] = s.answered(seen[o.Rank], o)
+			}
 		}
 	}
 }
 
+// answered is what a coordinator knows of a rank that has answered an order.
+func (s *sim) answered(before Status, o Order) Status {
+	if !before.Late {
+		return s.statuses()[o.Rank]
+	}
+	if o.Kind == Arm {
+		before.Armed = &Arming{o.Version, o.Step}
+		before.Late = false
+	}
+	return before
+}
+
+// send gives one order, and returns whether it was answered as taken.
+func (s *sim) send(c *simCoordinator, o Order) bool {
+	order := simOrder{Order: o, fence: c.fence, content: c.fence}
+	switch rapid.IntRange(0, 9).Draw(s.t, "fate") {
+	case 0:
+		s.note("fence %d lost %v", c.fence, o)
+		return false
+	case 1, 2:
+		order.due = s.now + rapid.IntRange(1, 40).Draw(s.t, "late")
+		s.flying = append(s.flying, order)
+		s.note("fence %d late %v, at %d", c.fence, o, order.due)
+		return false
+	default:
+		taken := s.apply(order)
+		s.note("fence %d %v: %v", c.fence, o, taken)
+		return taken
+	}
+}
+
 // Ranks are ordered one by one, some orders get lost or are carried out seconds late,
 // coordinators die in the middle and others take over, and the group breaks and opens
 // again. No pass may begin with two maps: callers would get nonsense that looks whole.
--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -46,8 +46,10 @@
 	// coordinates.
 	restTime = 3 * time.Second
 	// silentFor is how long the process beside an engine must be silent before the engine is
-	// asked directly, which is dear, and is done only while its group is held.
-	silentFor = 700 * time.Millisecond
+	// asked directly: that is dear, and tells less.
+	silentFor = 600 * time.Millisecond
+	// probeEach is how often the process is tried meanwhile.
+	probeEach = time.Second
 
 	// topicDuties holds one key for each duty that one entry has at a time; the offset of
 	// its newest record is the number of the one that has it.
@@ -94,7 +96,7 @@
 	restUntil time.Duration
 	versions  int64
 	groups    map[string]*group
-	heard     map[string]time.Duration // by engine
+	beside    map[string]*beside // by engine
 	// fenced says that an engine refused the number.
 	fenced bool
 }
@@ -109,7 +111,7 @@
 			IdleConnTimeout:     10 * time.Second,
 		}},
 		groups: make(map[string]*group),
-		heard:  make(map[string]time.Duration),
+		beside: make(map[string]*beside),
 	}
 }
 
@@ -198,16 +200,16 @@
 // being switched.
 func (c *Coordinator) look(ctx context.Context) bool {
 	engines := c.beliefs.Engines()
-	replies := c.askAll(ctx, engines, func(e Engine) *api.RankRequest {
+	answers := c.askAll(ctx, engines, func(e Engine) *api.RankRequest {
 		return &api.RankRequest{Counts: true, Experts: c.wantsExperts(e)}
 	})
 	members := make(map[string][]*member)
-	for i, reply := range replies {
-		state := reply.GetState()
+	for i, a := range answers {
+		state := a.reply.GetState()
 		if state.GetGroup() == "" || state.GetSize() == 0 {
 			continue
 		}
-		members[state.GetGroup()] = append(members[state.GetGroup()], &member{engine: engines[i], reply: reply})
+		members[state.GetGroup()] = append(members[state.GetGroup()], &member{engine: engines[i], reply: a.reply, late: a.direct})
 	}
 	busy := false
 	for name, ms := range members {
@@ -232,45 +234,80 @@
 	return true
 }
 
-// askAll asks all engines at once. A reply is nil when the engine did not answer.
-func (c *Coordinator) askAll(ctx context.Context, engines []Engine, request func(Engine) *api.RankRequest) []*api.RankReply {
+// askAll asks all engines at once.
+func (c *Coordinator) askAll(ctx context.Context, engines []Engine, request func(Engine) *api.RankRequest) []answer {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
-	replies := make([]*api.RankReply, len(engines))
+	answers := make([]answer, len(engines))
 	var wait sync.WaitGroup
 	for i, e := range engines {
 		req := request(e)
 		if req == nil {
 			continue
 		}
-		direct := req.GetOrder() != nil && c.silent(e)
+		direct := c.direct(e)
+		answers[i].direct = direct
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			replies[i] = c.ask(ctx, e, req, direct)
+			answers[i].reply = c.ask(ctx, e, req, direct)
 		}()
 	}
 	wait.Wait()
 	now := clock.Now()
-	for i, reply := range replies {
-		if reply == nil {
+	for i, a := range answers {
+		if a.reply == nil {
 			continue
 		}
-		c.heard[engines[i].ID] = now
-		if reply.GetResult() == api.OrderResult_ORDER_FENCED {
+		if !a.direct {
+			c.beside[engines[i].ID].answered = now
+		}
+		if a.reply.GetResult() == api.OrderResult_ORDER_FENCED {
 			c.fenced = true
 		}
 	}
-	return replies
+	return answers
 }
 
-// silent says that the process beside an engine has not answered for some time.
-func (c *Coordinator) silent(e Engine) bool { return clock.Now()-c.heard[e.ID] > silentFor }
+// answer is what came back for one engine; the reply is nil when nothing did.
+type answer struct {
+	reply *api.RankReply
+	// direct says that the engine itself was asked, from afar.
+	direct bool
+}
 
-// ask asks the process beside an engine, or with direct the engine itself.
+// direct says that an engine is to be asked without the process beside it.
+//
+// Load: a VM that stands still, or a process that starts again, while its engine runs on.
+// Harm prevented: the whole group cannot be switched, or worse, stands held until that one
+// process is back. Now and then the process is tried all the same.
+func (c *Coordinator) direct(e Engine) bool {
+	h := c.beside[e.ID]
+	if h == nil {
+		h = &beside{answered: clock.Now()}
+		c.beside[e.ID] = h
+	}
+	now := clock.Now()
+	if now-h.answered <= silentFor || now-h.tried > probeEach {
+		h.tried = now
+		return false
+	}
+	return true
+}
+
+// beside is the process beside an engine, by when it answered last and was tried last.
+type beside struct{ answered, tried time.Duration }
+
+// ask asks the process beside an engine, or with direct the engine itself. Counts and lists
+// are not read from afar: they are dear, and reading them stops the group.
 func (c *Coordinator) ask(ctx context.Context, e Engine, req *api.RankRequest, direct bool) *api.RankReply {
 	if direct {
-		return ranks.Ask(ctx, platform.NewEngine(e.Address, c.client), req)
+		reply := ranks.Ask(ctx, platform.NewEngine(e.Address, c.client), &api.RankRequest{Order: req.GetOrder()})
+		if reply.GetError() != "" {
+			_ = level.Warn(c.logger).Log("msg", "An engine does not answer.", "server", e.ID, "err", reply.GetError(),
+				"result", result.Label(api.ResultCode_BACKEND_FAILED))
+		}
+		return reply
 	}
 	host, _, err := net.SplitHostPort(e.Address)
 	if err != nil {
@@ -295,6 +332,8 @@
 type member struct {
 	engine Engine
 	reply  *api.RankReply
+	// late says that the state in the reply is of some moments ago.
+	late bool
 }
 
 // statuses returns what the ranks report, in their order; nil unless all of them do and the
@@ -314,6 +353,7 @@
 		}
 		seen[rank] = true
 		out[rank] = ranks.Status(state)
+		out[rank].Late = m.late
 	}
 	return out
 }
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -265,7 +265,7 @@
 		rankOf[m.engine.ID] = rank
 	}
 	layers := wireMap(g.plan)
-	replies := g.c.askAll(ctx, engines, func(e Engine) *api.RankRequest {
+	answers := g.c.askAll(ctx, engines, func(e Engine) *api.RankRequest {
 		o, ok := byRank[rankOf[e.ID]]
 		if !ok {
 			return nil
@@ -276,16 +276,27 @@
 		}
 		return &api.RankRequest{Order: sent}
 	})
-	for rank, reply := range replies {
+	for rank, a := range answers {
 		o, ok := byRank[rank]
 		if !ok {
 			continue
 		}
-		if reply.GetState() != nil {
-			members[rank].reply.State = reply.GetState()
-		}
+		members[rank].take(o, a)
 		_ = level.Info(g.c.logger).Log("msg", "A rank was given an order.", "group", g.name, "rank", rank, "kind", o.Kind,
-			"version", o.Version, "step", o.Step, "epoch", o.Epoch, "fence", g.c.fence.Load(), "outcome", reply.GetResult())
+			"version", o.Version, "step", o.Step, "epoch", o.Epoch, "fence", g.c.fence.Load(), "outcome", a.reply.GetResult(), "direct", a.direct)
+	}
+}
+
+// take takes in what came back for an order.
+func (m *member) take(o mapswitch.Order, a answer) {
+	if a.reply.GetState() != nil {
+		m.reply.State = a.reply.GetState()
+		m.late = a.direct
+	}
+	if a.direct && o.Kind == mapswitch.Arm && a.reply.GetResult() == api.OrderResult_ORDER_TAKEN {
+		// What the engine says of itself from afar is older than its answer.
+		m.reply.State.ArmedVersion, m.reply.State.ArmedStep = o.Version, o.Step
+		m.late = false
 	}
 }
 
