Move work off engines that say they are slow

Cause: an engine twelve times slower stretched every pass of its group: its share of the experts took eleven times the ideal, for as long as it was slow.

Change: plans of expert maps take the pace that each rank reports, so that a slow one is given less, down to nothing; the entry that coordinates tells the others, and each gives a slow engine fewer requests, down to one.

--- a/decide/balance/layers.go
+++ b/decide/balance/layers.go
@@ -64,6 +64,8 @@
 	shape Shape
 	cfg   LayersConfig
 	sets  []*Balancer
+	// pace is how many times slower than usual each rank is; nil when all are alike.
+	pace []float64
 }
 
 // NewLayers returns a plan for a group of which nothing is known yet.
@@ -89,6 +91,36 @@
 	}
 }
 
+// slowPace is the pace from which on a rank counts as slow. What ranks report of healthy
+// engines differs by a few hundredths, and following that would copy experts for nothing.
+const slowPace = 1.2
+
+// ObservePaces takes how many times slower than usual each rank is.
+//
+// Load: a rank whose accelerator is throttled or shares its host. Harm prevented: every pass
+// waits for it with its part of the experts. A slow rank is given less to do, down to
+// nothing; what it loses is copied to others, so that only what is far from usual counts.
+func (l *Layers) ObservePaces(paces []float64) {
+	l.pace = nil
+	if len(paces) != l.shape.Ranks {
+		return
+	}
+	for _, pace := range paces {
+		if pace >= slowPace {
+			l.pace = make([]float64, len(paces))
+		}
+	}
+	for rank := range l.pace {
+		l.pace[rank] = max(paces[rank], 1)
+	}
+}
+
+// demand is what one set's map has to carry. The additional expert stands in the slots that
+// are free, and nobody chooses it.
+func (l *Layers) demand(set *Balancer) Demand {
+	return Demand{Popularity: append(slices.Clone(set.Popularity()), 0), Pace: l.pace}
+}
+
 // Change is a change of maps.
 type Change struct {
 	// Maps are the maps to change to, by set of layers.
@@ -144,8 +176,7 @@
 	c := &Change{Maps: make([]LayerMap, len(current))}
 	loads := make([]int, l.shape.Ranks)
 	for i, set := range l.sets {
-		// The additional expert stands in the slots that are free, and nobody chooses it.
-		d := Demand{Popularity: append(slices.Clone(set.Popularity()), 0)}
+		d := l.demand(set)
 		from, ok := l.placement(current[i])
 		if !ok {
 			return nil
@@ -177,7 +208,7 @@
 		if !ok {
 			return 1
 		}
-		sum += Demand{Popularity: append(slices.Clone(set.Popularity()), 0)}.Stretch(p)
+		sum += l.demand(set).Stretch(p)
 	}
 	return sum / float64(len(l.sets))
 }
--- a/decide/balance/layers_test.go
+++ b/decide/balance/layers_test.go
@@ -150,6 +150,39 @@
 	}
 }
 
+// One rank of twelve takes twelve times as long for the same work. All callers of the group
+// wait for it in each pass, until its experts stand on others as well. Within some changes
+// a pass takes no more than twice what the others alone would need.
+func TestPlanMovesWorkOffASlowRank(t *testing.T) {
+	shape := Shape{Sets: 4, Experts: 72, Ranks: 12, Slots: 8, Spare: 3}
+	rng := rand.New(rand.NewPCG(5, 1))
+	l, err := NewLayers(shape, LayersConfig{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	counts := make([][]float64, shape.Sets)
+	for i := range counts {
+		counts[i] = zipf(rng, shape.Experts, 1.3)
+	}
+	l.Observe(time.Second, counts)
+	paces := slices.Repeat([]float64{1.02}, shape.Ranks)
+	paces[4] = 12
+	l.ObservePaces(paces)
+	maps := inTurn(shape)
+	before := l.Skew(maps)
+	for range 6 {
+		change := l.Plan(maps, true)
+		if change == nil {
+			break
+		}
+		checkChange(t, shape, maps, change.Maps)
+		maps = change.Maps
+	}
+	if after := l.Skew(maps); after > 2 {
+		t.Errorf("a pass takes %.1f times the ideal, %.1f before", after, before)
+	}
+}
+
 // A report that makes no sense, such as of a group with other ranks, plans nothing.
 func TestPlanOfAnotherShape(t *testing.T) {
 	shape := Shape{Sets: 1, Experts: 24, Ranks: 6, Slots: 6}
--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -97,6 +97,8 @@
 	versions  int64
 	groups    map[string]*group
 	beside    map[string]*beside // by engine
+	// paces are the engines that are slow, for others to read.
+	paces atomic.Pointer[map[string]float64]
 	// fenced says that an engine refused the number.
 	fenced bool
 }
@@ -134,6 +136,19 @@
 // called by any goroutine.
 func (c *Coordinator) Fence() int64 { return c.fence.Load() }
 
+// slowPace is the pace from which on an engine counts as slow: well above what healthy ones
+// differ by.
+const slowPace = 1.3
+
+// Paces returns the engines that are slow, with how many times slower than usual each is. It
+// may be called by any goroutine.
+func (c *Coordinator) Paces() map[string]float64 {
+	if paces := c.paces.Load(); paces != nil {
+		return *paces
+	}
+	return nil
+}
+
 // ready says whether this entry coordinates and has a number for it.
 //
 // An entry that leaves goes on until engines refuse its number: the one that follows it needs
@@ -182,6 +197,7 @@
 // resign forgets what belongs to the number.
 func (c *Coordinator) resign() {
 	c.fence.Store(0)
+	c.paces.Store(nil)
 	c.fenced = false
 	c.groups = make(map[string]*group)
 }
@@ -204,13 +220,18 @@
 		return &api.RankRequest{Counts: true, Experts: c.wantsExperts(e)}
 	})
 	members := make(map[string][]*member)
+	paces := make(map[string]float64)
 	for i, a := range answers {
 		state := a.reply.GetState()
+		if state.GetPace() >= slowPace {
+			paces[engines[i].ID] = state.GetPace()
+		}
 		if state.GetGroup() == "" || state.GetSize() == 0 {
 			continue
 		}
 		members[state.GetGroup()] = append(members[state.GetGroup()], &member{engine: engines[i], reply: a.reply, late: a.direct})
 	}
+	c.paces.Store(&paces)
 	busy := false
 	for name, ms := range members {
 		g := c.groups[name]
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -163,6 +163,11 @@
 		}
 	}
 	g.layers.Observe(now, sums)
+	paces := make([]float64, len(members))
+	for rank, m := range members {
+		paces[rank] = m.reply.GetState().GetPace()
+	}
+	g.layers.ObservePaces(paces)
 }
 
 // current returns the maps in use, or nil until all ranks have told theirs.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -207,7 +207,7 @@
 		c.live = len(live) + 1
 		c.g.fleet.set(c.registry.Entries(), c.out, c.table, c.live, now)
 	}
-	c.g.fleet.setOthers(othersOf(live), now)
+	c.g.fleet.setOthers(othersOf(live), c.pacesOf(live), now)
 	c.publish(live, now)
 	c.askPeers(live, now)
 	c.beat(live, now)
@@ -224,6 +224,20 @@
 	return others
 }
 
+// pacesOf returns the backend servers that are slow, by the word of the one that coordinates.
+func (c *control) pacesOf(live []*api.PeerBeat) map[string]float64 {
+	if c.g.experts.Fence() != 0 {
+		return c.g.experts.Paces()
+	}
+	paces := make(map[string]float64)
+	for _, b := range live {
+		for _, p := range b.GetPaces() {
+			paces[p.GetId()] = float64(p.GetPace())
+		}
+	}
+	return paces
+}
+
 // publish makes the view that traffic goes by.
 func (c *control) publish(live []*api.PeerBeat, now time.Duration) {
 	ready := c.table != nil && !c.g.leaving.Load() && c.g.fleet.usable()
@@ -360,6 +374,9 @@
 	for _, l := range c.g.fleet.loads() {
 		b.Loads = append(b.Loads, &api.ServerLoad{Id: l.id, InFlight: uint32(l.inFlight)})
 	}
+	for id, pace := range c.g.experts.Paces() {
+		b.Paces = append(b.Paces, &api.ServerPace{Id: id, Pace: float32(pace)})
+	}
 	others := make(map[string]bool)
 	for i := range min(len(live), mostOthers) {
 		others[live[(int(c.sequence)*mostOthers+i)%len(live)].GetIp()] = true
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -54,6 +54,8 @@
 	// own is this process's work there, others that of the other entries.
 	own, others int
 	work        time.Duration
+	// pace is how many times slower than usual it is, by its own word.
+	pace float64
 	// arrivals bounds the requests a second; nil where there is no bound.
 	arrivals *rate.Limiter
 }
@@ -135,16 +137,26 @@
 	}
 }
 
-// setOthers takes the work of the other entries, by server.
-func (f *fleet) setOthers(others map[string]int, now time.Duration) {
+// setOthers takes the work of the other entries by server, and the servers that are slow.
+func (f *fleet) setOthers(others map[string]int, paces map[string]float64, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, s := range f.servers {
 		s.others = others[id]
+		s.pace = max(paces[id], 1)
 	}
 	f.refresh(now)
 }
 
+// limit is the number of requests to have at a server at once.
+//
+// Load: one engine of a lock-step group that is many times slower. Harm prevented: each of
+// its own requests makes all ranks wait in every pass. It gets the fewer the slower it is,
+// down to one; its part of the experts is moved elsewhere, too.
+func (s *server) limit() int {
+	return max(1, int(float64(s.Concurrency)/(max(s.pace, 1)*max(s.pace, 1))))
+}
+
 // refresh tells the placement what is known of each server. The caller holds the lock.
 func (f *fleet) refresh(now time.Duration) {
 	out := make(map[string]int)
@@ -157,7 +169,7 @@
 	}
 	for id, s := range f.servers {
 		f.table.Report(id, now, place.Report{
-			Limit: s.Concurrency, FullLimit: s.Concurrency, Running: s.own + s.others, WorkTime: s.work,
+			Limit: s.limit(), FullLimit: s.Concurrency, Running: s.own + s.others, WorkTime: s.work,
 		})
 		// When all of a service fail, something else is at fault, and none is worse than
 		// the others.
