Give an address to the server that was born last there

Cause: after all VMs lost power, servers started again at their addresses under new IDs while the registrations of before lasted for seconds. Requests were sent to the old IDs, got 421, and had one attempt less.

Change: of the registrations at one address only that of the server born last names a server to use.

--- a/coord/registry/registry.go
+++ b/coord/registry/registry.go
@@ -48,6 +48,8 @@
 // Registry is what a process knows of the backend servers.
 type Registry struct {
 	entries map[string]*Entry
+	// at is the server that was born last at each address.
+	at map[string]*Entry
 	// lapsed are the servers whose registration is gone, with the time at which they are
 	// taken as gone.
 	lapsed map[string]time.Duration
@@ -59,7 +61,9 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{entries: make(map[string]*Entry), lapsed: make(map[string]time.Duration)}
+	return &Registry{
+		entries: make(map[string]*Entry), at: make(map[string]*Entry), lapsed: make(map[string]time.Duration),
+	}
 }
 
 // Put takes in a registration.
@@ -72,6 +76,19 @@
 	}
 	e.Server = s
 	e.Heard = now
+	if last := r.at[s.Address]; last == nil || last.Born <= s.Born || r.entries[last.ID] != last {
+		r.at[s.Address] = e
+	}
+}
+
+// followed says that another server has started since at the address of this one.
+//
+// Load: all VMs lose power and come back. Harm prevented: the registrations of before last
+// for some seconds more, and requests are sent to servers that are no longer there, each of
+// which costs one of its few attempts.
+func (r *Registry) followed(e *Entry) bool {
+	last := r.at[e.Address]
+	return last != nil && last != e && r.entries[last.ID] == last && last.Address == e.Address && last.Born > e.Born
 }
 
 // Remove says that a registration is gone. While the store is away, and until Return after
@@ -91,6 +108,13 @@
 		r.lapsed[id] = until
 		return
 	}
+	r.drop(id)
+}
+
+func (r *Registry) drop(id string) {
+	if e := r.entries[id]; e != nil && r.at[e.Address] == e {
+		delete(r.at, e.Address)
+	}
 	delete(r.entries, id)
 }
 
@@ -110,7 +134,7 @@
 	for id, at := range r.lapsed {
 		if now >= at {
 			delete(r.lapsed, id)
-			delete(r.entries, id)
+			r.drop(id)
 			gone = append(gone, id)
 		}
 	}
@@ -121,7 +145,9 @@
 func (r *Registry) Entries() []Entry {
 	entries := make([]Entry, 0, len(r.entries))
 	for _, e := range r.entries {
-		entries = append(entries, *e)
+		if !r.followed(e) {
+			entries = append(entries, *e)
+		}
 	}
 	return entries
 }
--- a/coord/registry/registry_test.go
+++ b/coord/registry/registry_test.go
@@ -83,3 +83,33 @@
 		t.Errorf("the new start is %v", since)
 	}
 }
+
+// All VMs lose power. Servers start again at their addresses under new IDs, while their old
+// registrations last. A caller's request must go to the new ones, in whatever order both are
+// heard; an address that a newer server has left counts for the old one again.
+func TestTheLastOneBornHasTheAddress(t *testing.T) {
+	old := Server{ID: "old", Address: "10.0.0.1:80", Born: 1}
+	renewed := Server{ID: "new", Address: "10.0.0.1:80", Born: 9}
+	for _, order := range [][]Server{{old, renewed}, {renewed, old}, {old, renewed, old}} {
+		r := New()
+		for _, s := range order {
+			r.Put(s, 0)
+		}
+		if got := ids(r); len(got) != 1 || !got["new"] {
+			t.Errorf("after %v: %v", order, got)
+		}
+	}
+	r := New()
+	r.Put(old, 0)
+	r.Put(renewed, 0)
+	r.Remove("new", second)
+	if got := ids(r); !got["old"] {
+		t.Errorf("after the new one has left: %v", got)
+	}
+	r = New()
+	r.Put(Server{ID: "a", Address: "10.0.0.1:80"}, 0)
+	r.Put(Server{ID: "b", Address: "10.0.0.1:80"}, 0)
+	if got := ids(r); len(got) != 2 {
+		t.Errorf("servers that do not say when they were born: %v", got)
+	}
+}
