Let requests wait at the entry for their turn, and watch a group that refuses

Cause: what did not fit anywhere was refused at once, or sent to engines whose group was broken: after a loss of power each request tried one engine after the other and was out of attempts when the group was back a second later.

Change: the admitter decides who starts, waits or is refused, by team and by the room of all entries; it can be told of room that is to come. An engine that refuses although it should have room has its service watched: one engine is asked how it is until the group is open, and the requests wait. What runs over waits at the entry and no longer at the engine.

--- a/decide/admit/presence.go
+++ b/decide/admit/presence.go
@@ -46,6 +46,17 @@
 	o.slots = 0
 }
 
+// Expect sets the room that there will be once the backend servers on their way may get work,
+// by what they are known to hold. Without it the room measured last stands for it.
+//
+// Load: an entry that has just started while all backend servers start again. Harm prevented:
+// it knows of no room yet, judges all waits by one place, and refuses nearly all of what
+// could be served a second later.
+func (a *Admitter) Expect(key string, slots int) {
+	o := a.offer(key)
+	o.measured = max(o.measured, slots)
+}
+
 // judged is the room by which waits are judged. While a backend server is on its way it
 // is the room measured last: by none at all the wait would have no end, and a deadline of
 // a minute would be refused as out of reach. If none was ever known it is one place, as of
--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -97,8 +97,8 @@
 	versions  int64
 	groups    map[string]*group
 	beside    map[string]*beside // by engine
-	// paces are the engines that are slow, for others to read.
-	paces atomic.Pointer[map[string]float64]
+	// paces are the engines that are slow or closed, for others to read.
+	paces atomic.Pointer[map[string]Pace]
 	// fenced says that an engine refused the number.
 	fenced bool
 }
@@ -140,9 +140,16 @@
 // differ by.
 const slowPace = 1.3
 
-// Paces returns the engines that are slow, with how many times slower than usual each is. It
-// may be called by any goroutine.
-func (c *Coordinator) Paces() map[string]float64 {
+// Pace is what keeps an engine from its usual work.
+type Pace struct {
+	// Slower is how many times slower than usual it is.
+	Slower float64
+	// Closed says that it takes no work, since its group is broken.
+	Closed bool
+}
+
+// Paces returns the engines that are slow or closed. It may be called by any goroutine.
+func (c *Coordinator) Paces() map[string]Pace {
 	if paces := c.paces.Load(); paces != nil {
 		return *paces
 	}
@@ -220,11 +227,12 @@
 		return &api.RankRequest{Counts: true, Experts: c.wantsExperts(e)}
 	})
 	members := make(map[string][]*member)
-	paces := make(map[string]float64)
+	paces := make(map[string]Pace)
 	for i, a := range answers {
 		state := a.reply.GetState()
-		if state.GetPace() >= slowPace {
-			paces[engines[i].ID] = state.GetPace()
+		closed := state.GetGroup() != "" && !state.GetOpen()
+		if closed || state.GetPace() >= slowPace {
+			paces[engines[i].ID] = Pace{Slower: max(state.GetPace(), 1), Closed: closed}
 		}
 		if state.GetGroup() == "" || state.GetSize() == 0 {
 			continue
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -224,15 +224,16 @@
 	return others
 }
 
-// pacesOf returns the backend servers that are slow, by the word of the one that coordinates.
-func (c *control) pacesOf(live []*api.PeerBeat) map[string]float64 {
+// pacesOf returns the backend servers that are slow or closed, by the word of the one that
+// coordinates.
+func (c *control) pacesOf(live []*api.PeerBeat) map[string]experts.Pace {
 	if c.g.experts.Fence() != 0 {
 		return c.g.experts.Paces()
 	}
-	paces := make(map[string]float64)
+	paces := make(map[string]experts.Pace)
 	for _, b := range live {
 		for _, p := range b.GetPaces() {
-			paces[p.GetId()] = float64(p.GetPace())
+			paces[p.GetId()] = experts.Pace{Slower: float64(p.GetPace()), Closed: p.GetClosed()}
 		}
 	}
 	return paces
@@ -375,7 +376,7 @@
 		b.Loads = append(b.Loads, &api.ServerLoad{Id: l.id, InFlight: uint32(l.inFlight)})
 	}
 	for id, pace := range c.g.experts.Paces() {
-		b.Paces = append(b.Paces, &api.ServerPace{Id: id, Pace: float32(pace)})
+		b.Paces = append(b.Paces, &api.ServerPace{Id: id, Pace: float32(pace.Slower), Closed: pace.Closed})
 	}
 	others := make(map[string]bool)
 	for i := range min(len(live), mostOthers) {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -22,7 +22,7 @@
 // was known is.
 func (g *Gateway) inputs(t *task) []any {
 	v := g.view.Load()
-	fields := []any{"id", t.ID, "took_ms", t.elapsed().Milliseconds(), "sent", t.history.sent, "unsent", t.history.unsent}
+	fields := []any{"id", t.ID, "took_ms", t.elapsed().Milliseconds(), "waited_ms", t.waited.Milliseconds(), "sent", t.history.sent, "unsent", t.history.unsent}
 	if t.route != nil {
 		fields = append(fields, "route", t.route.Name, "kind", t.route.Kind, "service", t.service, "team", t.team)
 	} else {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -9,16 +9,18 @@
 
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/coord/registry"
+	"github.com/apricothub/apricothub/decide/admit"
 	"github.com/apricothub/apricothub/decide/eject"
 	"github.com/apricothub/apricothub/decide/place"
+	"github.com/apricothub/apricothub/internal/experts"
 	"github.com/apricothub/apricothub/internal/routing"
 )
 
 const (
-	// queueRoom is the part of its concurrency that may wait at a backend server beyond it.
-	// As many again as run: the wait is then about the time of one request, and backend
-	// servers queue twice that before they refuse.
-	queueRoom = 1.0
+	// queueRoom is the part of its concurrency that may wait at a backend server beyond it:
+	// enough that none idles for the age of what entries know of each other. What waits at
+	// an entry can still go to any server, or be told to come back.
+	queueRoom = 0.25
 	// workWeight is the number of requests over which the time of the work is averaged.
 	workWeight = 16
 	// retryShare is the part of the retry budget of all entries that this process plans
@@ -45,6 +47,17 @@
 	budgets map[string]*place.RetryBudget
 	// entries is the number of live entries, this one included.
 	entries int
+
+	admitter *admit.Admitter
+	waiting  map[uint64]*waiter
+	lastID   uint64
+	// teamsOf is the version of the configuration that the admitter's teams are of.
+	teamsOf int64
+	// shut are the services of which this entry has seen itself that no server takes work.
+	shut map[string]bool
+	// registered is what all servers of a service can hold, whether they may get work now or
+	// not, and running this entry's requests there.
+	registered, running map[string]int
 }
 
 // server is one backend server.
@@ -54,8 +67,10 @@
 	// own is this process's work there, others that of the other entries.
 	own, others int
 	work        time.Duration
-	// pace is how many times slower than usual it is, by its own word.
-	pace float64
+	// pace is how many times slower than usual it is, by its own word; closed says that it
+	// takes no work now.
+	pace   float64
+	closed bool
 	// arrivals bounds the requests a second; nil where there is no bound.
 	arrivals *rate.Limiter
 }
@@ -65,11 +80,15 @@
 	return &fleet{
 		bounds: b,
 		// Reports here are the other entries' own counts, a fraction of a second old.
-		table:   place.NewTable(rng, place.Config{QueueRoom: queueRoom, FullTrust: true}),
-		judge:   eject.New(eject.Config{}),
-		servers: make(map[string]*server),
-		budgets: make(map[string]*place.RetryBudget),
-		entries: 1,
+		table:    place.NewTable(rng, place.Config{QueueRoom: queueRoom, FullTrust: true}),
+		judge:    eject.New(eject.Config{}),
+		servers:  make(map[string]*server),
+		budgets:  make(map[string]*place.RetryBudget),
+		entries:  1,
+		admitter: admit.New(admit.Config{Queue: mostWaiting, MaxWait: longestWait, MostRetry: comeBackMost}),
+		waiting:  make(map[uint64]*waiter),
+		running:  make(map[string]int),
+		shut:     make(map[string]bool),
 	}
 }
 
@@ -81,6 +100,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.entries = max(live, 1)
+	f.setTeams(cfg)
+	f.registered = make(map[string]int)
 	old := f.servers
 	f.servers = make(map[string]*server, len(entries))
 	placed := make([]place.Server, 0, len(entries))
@@ -103,6 +124,8 @@
 		weight := 1.0
 		if e.Draining || out[e.FailureDomain] {
 			weight = 0
+		} else {
+			f.registered[e.Service] += e.Concurrency
 		}
 		placed = append(placed, place.Server{VM: e.ID, Domain: e.FailureDomain, Offers: []string{offer(e.Service)}, Weight: weight})
 	}
@@ -138,12 +161,13 @@
 }
 
 // setOthers takes the work of the other entries by server, and the servers that are slow.
-func (f *fleet) setOthers(others map[string]int, paces map[string]float64, now time.Duration) {
+func (f *fleet) setOthers(others map[string]int, paces map[string]experts.Pace, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, s := range f.servers {
 		s.others = others[id]
-		s.pace = max(paces[id], 1)
+		s.pace = paces[id].Slower
+		s.closed = paces[id].Closed
 	}
 	f.refresh(now)
 }
@@ -173,8 +197,9 @@
 		})
 		// When all of a service fail, something else is at fault, and none is worse than
 		// the others.
-		f.table.Suspect(id, f.judge.Out(id, now) && out[s.Service] < all[s.Service])
+		f.table.Suspect(id, s.closed || f.shut[s.Service] || f.judge.Out(id, now) && out[s.Service] < all[s.Service])
 	}
+	f.admit(now)
 }
 
 // need is what placing a request takes.
@@ -184,10 +209,9 @@
 	left    time.Duration
 }
 
-// pick chooses a backend server and counts the request as sent there; end it with done.
+// pick chooses a backend server and counts the request as sent there; end it with done. The
+// caller holds the lock.
 func (f *fleet) pick(n need, now time.Duration) (registry.Server, api.ResultCode) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	avoid := append([]string(nil), n.tried...)
 	cold := false
 	for {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/coord/registry"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/internal/routing"
@@ -41,6 +42,8 @@
 	// deadline is when the caller does; zero when it does not say.
 	deadline time.Duration
 
+	// waited is how long it waited for its turn.
+	waited  time.Duration
 	history history
 	// tried are the backend servers that the request was taken to.
 	tried []string
@@ -148,17 +151,22 @@
 // or no further attempt is allowed.
 func (g *Gateway) run(ctx context.Context, t *task) {
 	g.fleet.first(t.service)
+	id, s, err := g.fleet.enter(ctx, t, clock.Now())
+	if err != nil {
+		t.waited = t.elapsed()
+		g.giveUp(ctx, t, err)
+		return
+	}
+	t.waited = t.elapsed()
+	began := clock.Now()
+	took := time.Duration(0)
+	defer func() { g.fleet.finish(id, t.service, took, clock.Now()) }()
 	for {
-		now := clock.Now()
-		s, code := g.fleet.pick(need{service: t.service, tried: t.tried, left: left(t.until, now)}, now)
-		if code != api.ResultCode_OK {
-			g.giveUp(ctx, t, code)
-			return
-		}
 		t.tried = append(t.tried, s.ID)
-		v, err := g.attempt(ctx, t, s)
+		v, failure := g.attempt(ctx, t, s)
 		switch v {
 		case delivered:
+			took = clock.Now() - began
 			g.served(t, s.ID)
 			return
 		case over:
@@ -168,21 +176,57 @@
 			t.history.unsent++
 		case notRun:
 			t.history.sent++
+			if g.fleet.shed(s.ID) {
+				go g.watch(s)
+			}
 		case ranBadly, broken:
 			t.history.sent++
 			t.history.mayHaveRun = true
 		}
-		g.logAttempt(t, s, v, err)
+		g.logAttempt(t, s, v, failure)
 		if !another(v, t.route, t.history) || v != unsent && !g.fleet.again(t.service) {
-			g.giveUp(ctx, t, api.ResultCode_SATURATED)
+			g.giveUp(ctx, t, result.New(api.ResultCode_SATURATED))
+			return
+		}
+		if s, err = g.another(ctx, t); err != nil {
+			g.giveUp(ctx, t, err)
 			return
 		}
 		g.metrics.again.Inc(1)
 	}
 }
 
+const (
+	// anotherWait is how long a request waits at most for another backend server once it has
+	// been to one, and anotherEach how often it looks.
+	anotherWait = time.Second
+	anotherEach = 25 * time.Millisecond
+)
+
+// another finds one more backend server for a request that has its turn already. A request
+// that has not run waits for a while if there is none; one of which the caller has some of
+// the answer, too.
+func (g *Gateway) another(ctx context.Context, t *task) (registry.Server, *result.Error) {
+	began := clock.Now()
+	for {
+		now := clock.Now()
+		s, code := g.fleet.another(need{service: t.service, tried: t.tried, left: left(t.until, now)}, now)
+		if code == api.ResultCode_OK {
+			return s, nil
+		}
+		if now-began > anotherWait {
+			return registry.Server{}, result.New(code)
+		}
+		select {
+		case <-ctx.Done():
+			return registry.Server{}, result.New(code)
+		case <-time.After(anotherEach):
+		}
+	}
+}
+
 // giveUp gives a request its final answer when no further attempt is made.
-func (g *Gateway) giveUp(ctx context.Context, t *task, code api.ResultCode) {
+func (g *Gateway) giveUp(ctx context.Context, t *task, err *result.Error) {
 	switch {
 	case t.out.begun:
 		g.cut(t, api.ResultCode_ANSWER_BROKEN)
@@ -194,7 +238,7 @@
 	case t.history.mayHaveRun:
 		g.refuse(t, result.New(api.ResultCode_OUTCOME_UNKNOWN))
 	default:
-		g.refuse(t, result.New(code))
+		g.refuse(t, err)
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/waiting.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/coord/registry"
+	"github.com/apricothub/apricothub/decide/admit"
+	"github.com/apricothub/apricothub/internal/clock"
+	"github.com/apricothub/apricothub/internal/result"
+	"github.com/apricothub/apricothub/internal/routing"
+)
+
+const (
+	// mostWaiting bounds the requests that wait at one entry for one service.
+	mostWaiting = 512
+	// longestWait is the longest expected wait with which a request is taken, and the
+	// longest that one waits: callers of a stream leave after two seconds without an event,
+	// and the first one takes some hundred milliseconds.
+	longestWait = 1300 * time.Millisecond
+	// waitPart is the part of the time left that a request waits at most: what is begun
+	// later is late for its caller.
+	waitPart = 0.4
+	// plan is the plan that all teams share: the configuration weighs none against another.
+	plan = "teams"
+	// burst is the number of requests that a team may have above its share while others
+	// wait: callers of one team come together.
+	burst = 4
+	// endless stands for no deadline.
+	endless = time.Hour
+)
+
+// waiter is a request that waits for its turn.
+type waiter struct {
+	need need
+	// turn receives the outcome; it has room for it.
+	turn chan turn
+}
+
+// turn is the outcome of waiting: a backend server, or a refusal.
+type turn struct {
+	server registry.Server
+	err    *result.Error
+}
+
+// setTeams tells the admitter which teams there are. The caller holds the lock.
+func (f *fleet) setTeams(cfg *routing.Table) {
+	if cfg.Version == f.teamsOf {
+		return
+	}
+	f.teamsOf = cfg.Version
+	// Requests without a key share what one team has.
+	customers := []admit.CustomerShare{{Name: "", Plan: plan, Weight: 1, Burst: burst}}
+	for _, name := range cfg.TeamNames() {
+		customers = append(customers, admit.CustomerShare{Name: name, Plan: plan, Weight: 1, Burst: burst})
+	}
+	f.admitter.SetPlans([]admit.PlanShare{{Name: plan, Share: 1}}, customers)
+}
+
+// admit measures the room for each service anew and lets those go on whose turn it is. The
+// caller holds the lock.
+func (f *fleet) admit(now time.Duration) {
+	for service, held := range f.registered {
+		key := offer(service)
+		free, capacity := f.table.Spare(key, now)
+		presence := admit.Here
+		switch {
+		case held == 0:
+			presence = admit.None
+		case capacity == 0:
+			presence = admit.Coming
+		}
+		f.admitter.SetPresence(key, presence)
+		f.admitter.Expect(key, held/f.entries)
+		f.admitter.SetTotal(key, capacity, f.entries)
+		f.admitter.SetCapacity(key, admit.Part(f.running[service], free, capacity, f.entries))
+	}
+	f.release(now)
+}
+
+// release lets those go on whose turn it is. The caller holds the lock.
+func (f *fleet) release(now time.Duration) {
+	for _, r := range f.admitter.Next(now) {
+		w := f.waiting[r.ID]
+		if w == nil {
+			f.admitter.Cancel(now, r.ID)
+			continue
+		}
+		if r.Action == admit.Refuse {
+			f.end(r.ID, turn{err: refusal(r.Decision)})
+			continue
+		}
+		f.start(r.ID, w, now)
+	}
+}
+
+// start places a request whose turn it is; one for which no server is found waits on. The
+// caller holds the lock.
+func (f *fleet) start(id uint64, w *waiter, now time.Duration) {
+	s, code := f.pick(w.need, now)
+	if code == api.ResultCode_OK {
+		f.running[w.need.service]++
+		f.end(id, turn{server: s})
+		return
+	}
+	if !f.admitter.Postpone(now, id) {
+		f.end(id, turn{err: result.New(code)})
+	}
+}
+
+func (f *fleet) end(id uint64, t turn) {
+	w := f.waiting[id]
+	delete(f.waiting, id)
+	w.turn <- t
+}
+
+func refusal(d admit.Decision) *result.Error {
+	err := result.New(d.Code)
+	err.RetryAfter = d.RetryAfter
+	return err
+}
+
+// placeID is the right of a request to run, which finish gives back.
+type placeID uint64
+
+// enter waits until a request may run, and places it. A nil error comes with a server; end
+// its attempt with done, and the request with finish.
+//
+// Load: bursts, outages of all backend servers for a second or two, one team with many times
+// the requests of the others. Harm prevented: a request that could run a moment later is
+// refused; one that cannot be met waits until its caller has gone; a small team waits behind
+// a large one.
+func (f *fleet) enter(ctx context.Context, t *task, now time.Duration) (placeID, registry.Server, *result.Error) {
+	f.mu.Lock()
+	f.lastID++
+	id := f.lastID
+	until := t.until
+	if until == 0 {
+		until = now + endless
+	}
+	w := &waiter{need: need{service: t.service, left: left(t.until, now)}, turn: make(chan turn, 1)}
+	d := f.admitter.Offer(now, admit.Request{
+		ID: id, Customer: t.team, Offer: offer(t.service), Deadline: until, Priority: -t.priority,
+	})
+	if d.Action == admit.Refuse {
+		f.mu.Unlock()
+		return 0, registry.Server{}, refusal(d)
+	}
+	f.waiting[id] = w
+	if d.Action == admit.Start {
+		f.start(id, w, now)
+	}
+	f.mu.Unlock()
+	return f.wait(ctx, id, w, min(longestWait, time.Duration(waitPart*float64(until-now))))
+}
+
+// wait waits for a request's turn.
+func (f *fleet) wait(ctx context.Context, id uint64, w *waiter, most time.Duration) (placeID, registry.Server, *result.Error) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case t := <-w.turn:
+		return placeID(id), t.server, t.err
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	select {
+	case t := <-w.turn:
+		// Its turn came at the same moment.
+		return placeID(id), t.server, t.err
+	default:
+	}
+	delete(f.waiting, id)
+	f.admitter.Cancel(clock.Now(), id)
+	return 0, registry.Server{}, result.New(api.ResultCode_SATURATED)
+}
+
+// another places a request once more that has its turn already; end the attempt with done.
+func (f *fleet) another(n need, now time.Duration) (registry.Server, api.ResultCode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pick(n, now)
+}
+
+// finish gives back the right to run. took is the time of the work, zero when it tells
+// nothing of the usual.
+func (f *fleet) finish(id placeID, service string, took, now time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running[service] = max(f.running[service]-1, 0)
+	f.admitter.Done(now, uint64(id), took)
+	f.admit(now)
+}
--- a/internal/logging/sentences_test.go
+++ b/internal/logging/sentences_test.go
@@ -12,6 +12,7 @@
 
 // events are the sentences that tell of no failure. All others carry a result.
 var events = map[string]bool{
+	"A service that refused work was watched.":                            true,
 	"A backend server did not register again.":                            true,
 	"A backend server is ordered to load.":                                true,
 	"A changed setting needs a restart.":                                  true,
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -228,5 +228,18 @@
 // Team returns the team that holds a key, or nil.
 func (t *Table) Team(key string) *Team { return t.keys[key] }
 
+// TeamNames returns the names of all teams, in no order.
+func (t *Table) TeamNames() []string {
+	seen := make(map[string]bool, t.teams)
+	var names []string
+	for _, team := range t.keys {
+		if !seen[team.Name] {
+			seen[team.Name] = true
+			names = append(names, team.Name)
+		}
+	}
+	return names
+}
+
 // HasTeams says that requests need a key.
 func (t *Table) HasTeams() bool { return t.teams > 0 }
