Test the gateway before servers that drop, repeat and break off answers

Change: tests with a store, backend servers and callers on loopback sockets: a push is sent once whatever its connection, answers go to their own callers, streams go on behind the last whole event, a broken one looks broken, callers that leave end the work, timeouts, configurations, drains, evacuation, a planned stop, and an entry that the store turns away. An answer on a route for streams that says it is something else is no longer read as events.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -85,12 +86,19 @@
 	if a.answer.NotRun {
 		return a.refused()
 	}
-	if a.t.route.Kind == routing.Stream && a.resp.StatusCode == http.StatusOK {
+	if a.t.route.Kind == routing.Stream && a.resp.StatusCode == http.StatusOK && isEvents(a.resp.Header) {
 		return a.stream()
 	}
 	return a.hold()
 }
 
+// isEvents says that an answer is a series of events; one that does not say what it is counts
+// as such on a route for streams.
+func isEvents(h http.Header) bool {
+	kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return kind == "" || strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
+}
+
 // broke ends an attempt that may have run and brought no whole answer.
 func (a *try) broke(err error) verdict {
 	a.fate = fateFailed
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,12 +110,16 @@
 
 // Run serves until ctx ends, and then stops gracefully.
 func Run(ctx context.Context, s *platform.Settings, logger log.Logger) error {
-	g := newGateway(s, logger)
+	return newGateway(s, logger).run(ctx)
+}
+
+func (g *Gateway) run(ctx context.Context) error {
 	defer close(g.stopped)
 	if err := g.listenBeats(); err != nil {
 		return err
 	}
-	_ = level.Info(logger).Log("msg", "The process starts.", "vm", s.VM, "failure_domain", s.FailureDomain,
+	s := g.settings
+	_ = level.Info(g.logger).Log("msg", "The process starts.", "vm", s.VM, "failure_domain", s.FailureDomain,
 		"ip", s.IP, "store", s.Store.Address, "seeds", len(s.Seeds))
 	var group run.Group
 	// Whatever ends the group, the processes around the traffic stop last.
@@ -124,7 +128,7 @@
 	add := func(part func(context.Context) error) {
 		group.Add(func() error { return part(inner) }, func(error) { cancel() })
 	}
-	add(newControl(g, logging.Part(logger, "control"), clock.Now()).run)
+	add(newControl(g, logging.Part(g.logger, "control"), clock.Now()).run)
 	add(g.follower(platform.TopicOperators, operatorsWait, 0).run)
 	add(g.follower(platform.TopicServers, 0, serversEach).run)
 	add(g.hear)
@@ -134,7 +138,7 @@
 	group.Add(func() error { return g.serveAll(ctx) }, func(error) { cancel() })
 	err := group.Run()
 	_ = g.socket.Close()
-	_ = level.Info(logger).Log("msg", "The process stops.", "uptime", clock.Now())
+	_ = level.Info(g.logger).Log("msg", "The process stops.", "uptime", clock.Now())
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,370 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// world starts a store with the usual configuration, backend servers that answer as given,
+// and one entry.
+func world(t *testing.T, answers ...func(s seen, conn net.Conn) bool) (*fakeStore, []*fakeServer, *entry) {
+	t.Helper()
+	store := newFakeStore(t)
+	store.configure(1, testRoutes(), "key-1", "key-2")
+	var servers []*fakeServer
+	for i, answer := range answers {
+		servers = append(servers, store.serve(t, "i-"+string(rune('a'+i)), answer))
+	}
+	e := start(t, store.settings())
+	e.until("all servers are known", func() bool {
+		return len(e.fleet.dump(0)) == len(servers)
+	})
+	return store, servers, e
+}
+
+// A request goes through as it came: path with its escapes, query, body and headers. The key
+// stays here, and the team's name is that of the key's holder, whatever the caller wrote.
+func TestARequestGoesThroughUnchanged(t *testing.T) {
+	t.Parallel()
+	_, servers, e := world(t, echo)
+	r := e.ask("POST", "/push/a%2Fb//c?q=1&q=%20", "r1", func(req *http.Request) {
+		req.URL.Opaque = "/push/a%2Fb//c"
+		req.Header.Set("Tenant", "forged")
+		req.Header.Set("X-Other", "kept")
+	})
+	if r.status != 200 || r.body != "answer to r1" || r.header.Get("Upstream-Signature") != "sig" {
+		t.Fatalf("the caller got %+v", r)
+	}
+	got := servers[0].got()[0]
+	if got.request.RequestURI != "/push/a%2Fb//c?q=1&q=%20" || got.body != "body of r1" || got.request.Host != "h.example" {
+		t.Errorf("the server got %s %q for %s", got.request.RequestURI, got.body, got.request.Host)
+	}
+	h := got.request.Header
+	if h.Get("Api-Key") != "" || h.Get("Tenant") != "north" || h.Get("Target-Instance") != "i-a" || h.Get("X-Other") != "kept" {
+		t.Errorf("the server got the header %v", h)
+	}
+}
+
+// A server reads a push and closes its connection without an answer. The push may have
+// changed the shelf: it must not be sent again, by us or by a library, over a new connection
+// or a kept one, with another server at hand. The caller is told that nobody knows.
+func TestAPushIsNeverSentTwice(t *testing.T) {
+	t.Parallel()
+	drop := func(s seen, conn net.Conn) bool {
+		if strings.HasPrefix(s.request.RequestURI, "/look/") {
+			return echo(s, conn)
+		}
+		return false
+	}
+	_, servers, e := world(t, drop, drop)
+	for _, kept := range []bool{false, true} {
+		if kept {
+			// Leave connections behind that can be used again.
+			for i := range 8 {
+				if r := e.ask("GET", "/look/1", "warm-"+string(rune('a'+i))); r.status != 200 {
+					t.Fatalf("look-up: %+v", r)
+				}
+			}
+		}
+		for _, body := range []string{"x", ""} {
+			before := len(servers[0].got()) + len(servers[1].got())
+			r := e.ask("POST", "/push/1", "push", func(req *http.Request) {
+				req.Body = io.NopCloser(strings.NewReader(body))
+				req.ContentLength = int64(len(body))
+				req.GetBody = nil
+			})
+			if r.status != http.StatusBadGateway {
+				t.Errorf("kept %v, body %q: the caller got %+v", kept, body, r)
+			}
+			if n := len(servers[0].got()) + len(servers[1].got()) - before; n != 1 {
+				t.Errorf("kept %v, body %q: sent %d times", kept, body, n)
+			}
+		}
+	}
+}
+
+// A full server refuses a push and says that it has not run. The caller is told so, and when
+// to come back.
+func TestARefusedPushHasNotRun(t *testing.T) {
+	t.Parallel()
+	_, _, e := world(t, func(s seen, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	r := e.ask("POST", "/push/1", "p1")
+	if r.status != http.StatusServiceUnavailable || r.header.Get("Retry-After") == "" || r.header.Get("Upstream-Signature") != "" {
+		t.Errorf("the caller got %+v", r)
+	}
+}
+
+// One server fails all look-ups. A look-up may run again, and callers see no failure.
+func TestALookUpGoesToAnotherServer(t *testing.T) {
+	t.Parallel()
+	_, servers, e := world(t, echo, func(s seen, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 500 Oops\r\nUpstream-Signature: bad\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	for i := range 20 {
+		if r := e.ask("GET", "/look/1", "l"+string(rune('a'+i))); r.status != 200 {
+			t.Errorf("look-up %d: %+v", i, r)
+		}
+	}
+	if len(servers[1].got()) == 0 {
+		t.Error("the failing server was never asked: the test shows nothing")
+	}
+}
+
+// When all servers fail, the caller gets the failure that a server gave, with its signature.
+func TestTheServersFailureIsPassedOn(t *testing.T) {
+	t.Parallel()
+	_, _, e := world(t, func(s seen, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 500 Oops\r\nUpstream-Signature: bad\r\nContent-Length: 4\r\n\r\noops")
+		return true
+	})
+	for _, path := range []string{"/look/1", "/push/1"} {
+		if r := e.ask("POST", path, "f"); r.status != 500 || r.body != "oops" || r.header.Get("Upstream-Signature") != "bad" {
+			t.Errorf("%s: %+v", path, r)
+		}
+	}
+}
+
+// A server answers each request twice; the second answer comes at once, or only when the
+// next request is on its way. No caller may get what another one asked for.
+func TestASecondAnswerReachesNobody(t *testing.T) {
+	t.Parallel()
+	last := ""
+	_, servers, e := world(t, func(s seen, conn net.Conn) bool {
+		id := s.request.Header.Get("Attempt-Id")
+		text := whole(id, "answer to "+id)
+		if last != "" {
+			text = whole(last, "answer to "+last) + text
+		}
+		last = id
+		_, _ = io.WriteString(conn, text)
+		return true
+	})
+	for i := range 10 {
+		id := "s" + string(rune('a'+i))
+		if r := e.ask("GET", "/look/1", id); r.status != 200 || r.body != "answer to "+id {
+			t.Errorf("the caller of %s got %+v", id, r)
+		}
+	}
+	reused := false
+	for _, s := range servers[0].got() {
+		reused = reused || !s.first
+	}
+	if !reused {
+		t.Error("no connection was used again: the test shows nothing")
+	}
+}
+
+// A server breaks off in the middle of an event. Another one goes on behind the last whole
+// event, and the caller sees one stream: nothing missing, nothing twice.
+func TestAStreamGoesOnAtAnotherServer(t *testing.T) {
+	t.Parallel()
+	broken := make(chan string, 2)
+	answer := func(s seen, conn net.Conn) bool {
+		from := s.request.Header.Get("Last-Event-Id")
+		_, _ = io.WriteString(conn, streamHead(s))
+		if from == "" {
+			broken <- s.request.Header.Get("Target-Instance")
+			_, _ = io.WriteString(conn, chunk(event(1))+chunk(event(2))+chunk("id: 3\nda"))
+			return false
+		}
+		if from != "2" {
+			t.Errorf("resumed behind %q", from)
+		}
+		_, _ = io.WriteString(conn, chunk(event(3))+chunk(event(4))+"0\r\n\r\n")
+		return true
+	}
+	_, _, e := world(t, answer, answer)
+	r := e.ask("POST", "/draft/1", "d1")
+	if want := event(1) + event(2) + event(3) + event(4); r.body != want || r.err != nil {
+		t.Errorf("the caller got %q, %v", r.body, r.err)
+	}
+	if len(broken) != 1 {
+		t.Errorf("%d streams were begun", len(broken))
+	}
+}
+
+// A stream that cannot be resumed breaks off. The caller must notice: an answer that ends
+// early must not look whole.
+func TestABrokenStreamLooksBroken(t *testing.T) {
+	t.Parallel()
+	_, _, e := world(t, func(s seen, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, streamHead(s)+chunk(event(1)))
+		return false
+	})
+	if r := e.ask("POST", "/chat/1", "c1"); r.err == nil || r.body != event(1) {
+		t.Errorf("the caller got %q, %v", r.body, r.err)
+	}
+}
+
+// A server goes back in its stream, or leaves events out. What the caller has cannot be put
+// right, and what comes next would make it worse.
+func TestEventsOutOfOrderArePassedOnToNobody(t *testing.T) {
+	t.Parallel()
+	_, _, e := world(t, func(s seen, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, streamHead(s)+chunk(event(1)+event(2)+event(2))+"0\r\n\r\n")
+		return true
+	})
+	if r := e.ask("POST", "/chat/1", "o1"); r.err == nil || strings.Count(r.body, "id: 2") > 1 {
+		t.Errorf("the caller got %q, %v", r.body, r.err)
+	}
+}
+
+// A caller leaves in the middle of its stream. The server must not go on working for nobody.
+func TestACallerThatLeavesEndsTheWork(t *testing.T) {
+	t.Parallel()
+	ended := make(chan struct{})
+	_, _, e := world(t, func(s seen, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, streamHead(s)+chunk(event(1)))
+		_, _ = conn.Read(make([]byte, 1))
+		close(ended)
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, "POST", "http://"+e.settings.Listen.Callers+"/draft/1", nil)
+	req.Host = "h.example"
+	req.Header.Set("Api-Key", "key-1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if line, _ := bufio.NewReader(resp.Body).ReadString('\n'); line != "id: 1\n" {
+		t.Fatalf("the stream began with %q", line)
+	}
+	cancel()
+	_ = resp.Body.Close()
+	select {
+	case <-ended:
+	case <-time.After(generous):
+		t.Error("the server went on")
+	}
+}
+
+// A route lets callers wait for 300 ms, and its server takes longer. The caller is told at
+// that time, and not that it did not run.
+func TestTheTimeoutOfARoute(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	defer close(release)
+	_, _, e := world(t, func(s seen, conn net.Conn) bool {
+		<-release
+		return false
+	})
+	if r := e.ask("GET", "/quick/1", "q1"); r.status != http.StatusGatewayTimeout {
+		t.Errorf("the caller got %+v", r)
+	}
+}
+
+// Operators publish versions: a key goes, a route goes, another comes. Callers see all of the
+// new version, and an entry without any says that it is starting.
+func TestAConfigurationComesIntoForce(t *testing.T) {
+	t.Parallel()
+	store, _, e := world(t, echo)
+	if r := e.ask("GET", "/look/1", "a", func(r *http.Request) { r.Header.Set("Api-Key", "key-2") }); r.status != 200 {
+		t.Fatalf("before: %+v", r)
+	}
+	routes := append(testRoutes()[1:], route{"new", "h.example", "/new/", "idempotent", 1000, 1, false, "app"})
+	store.configure(7, routes, "key-1")
+	e.until("version 7 is in force", func() bool { return e.view.Load().table.Version == 7 })
+	for _, c := range []struct {
+		path, key string
+		want      int
+	}{{"/new/1", "key-1", 200}, {"/push/1", "key-1", 404}, {"/look/1", "key-2", 401}, {"/look/1", "", 401}} {
+		if r := e.ask("GET", c.path, "b", func(r *http.Request) { r.Header.Set("Api-Key", c.key) }); r.status != c.want {
+			t.Errorf("%s with %q: %+v, want %d", c.path, c.key, r, c.want)
+		}
+	}
+}
+
+// A server drains, and a failure domain is taken out. Neither gets new work; with nobody left
+// callers are told when to come back.
+func TestLeavingServersGetNothing(t *testing.T) {
+	t.Parallel()
+	store, servers, e := world(t, echo, echo)
+	store.register(servers[0], "draining")
+	e.until("the server is known to drain", func() bool { return e.fleet.dump(0)[0].Draining })
+	before := len(servers[0].got())
+	for range 10 {
+		if r := e.ask("GET", "/look/1", "x"); r.status != 200 {
+			t.Errorf("look-up: %+v", r)
+		}
+	}
+	if n := len(servers[0].got()) - before; n != 0 {
+		t.Errorf("the draining server got %d requests", n)
+	}
+	store.put("keyed.op", "evacuate/a", "{}")
+	e.until("nothing may get work", func() bool { return e.ask("GET", "/look/1", "y").status == 503 })
+	store.put("keyed.op", "evacuate/a", "")
+	e.until("the domain is back", func() bool { return e.ask("GET", "/look/1", "z").status == 200 })
+}
+
+// A planned stop: the entry is no longer ready, is named to nobody, serves on for callers that
+// still come, asks them to close, and ends what is under way.
+func TestAPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
+	go1 := make(chan struct{})
+	_, _, e := world(t, func(s seen, conn net.Conn) bool {
+		if strings.HasPrefix(s.request.RequestURI, "/draft/") {
+			_, _ = io.WriteString(conn, streamHead(s)+chunk(event(1)))
+			<-go1
+			_, _ = io.WriteString(conn, chunk(event(2))+"0\r\n\r\n")
+			return true
+		}
+		return echo(s, conn)
+	})
+	stream := make(chan reply, 1)
+	go func() { stream <- e.ask("POST", "/draft/1", "long") }()
+	e.until("the stream has begun", func() bool { return len(e.fleet.loads()) == 1 })
+	e.cancel()
+	e.until("it is not ready", func() bool {
+		resp, err := http.Get("http://" + e.settings.Listen.Readiness + "/apricothub/readyz")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == 503
+	})
+	if r := e.ask("GET", "/look/1", "late"); r.status != 200 || r.header.Get("Connection") != "close" && r.err != nil {
+		t.Errorf("a caller that still came got %+v", r)
+	}
+	close(go1)
+	if r := <-stream; r.body != event(1)+event(2) || r.err != nil {
+		t.Errorf("the stream under way ended as %+v", r)
+	}
+	if err := <-e.done; err != nil {
+		t.Errorf("the entry ended with %v", err)
+	}
+	e.done <- nil
+}
+
+// The store turns one entry away and serves the other. A key that is taken away meanwhile must
+// not be let in by the first one; it hears of it from the second.
+func TestAnEntryThatTheStoreTurnsAway(t *testing.T) {
+	t.Parallel()
+	store := newFakeStore(t)
+	store.configure(1, testRoutes(), "key-1", "key-2")
+	store.serve(t, "i-a", echo)
+	settings := store.settings()
+	address, shut := store.door(t)
+	settings.Store.Address = address
+	one := start(t, settings)
+	two := start(t, store.settings(settings.IP))
+	for _, e := range []*entry{one, two} {
+		e.until("both know of each other", func() bool { return len(e.view.Load().addresses) == 2 })
+	}
+	shut.Store(true)
+	store.configure(2, testRoutes(), "key-1")
+	one.until("the first has the new version", func() bool { return one.view.Load().table.Version == 2 })
+	if r := one.ask("GET", "/look/1", "k", func(r *http.Request) { r.Header.Set("Api-Key", "key-2") }); r.status != 401 {
+		t.Errorf("the key that was taken away: %+v", r)
+	}
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -84,7 +84,7 @@
 		defer cancel()
 		_ = t.out.rc.SetWriteDeadline(time.Now().Add(left(t.until, clock.Now()) + writeGrace))
 	}
-	g.run(ctx, t)
+	g.pass(ctx, t)
 }
 
 // writeGrace is how long beyond the deadline a caller may take to read the end of its
@@ -147,9 +147,9 @@
 	return nil
 }
 
-// run takes a request to one backend server after another, until the caller has its answer
+// pass takes a request to one backend server after another, until the caller has its answer
 // or no further attempt is allowed.
-func (g *Gateway) run(ctx context.Context, t *task) {
+func (g *Gateway) pass(ctx context.Context, t *task) {
 	g.fleet.first(t.service)
 	id, s, err := g.fleet.enter(ctx, t, clock.Now())
 	if err != nil {
