--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
-
 	"strings"
 	"sync"
 	"sync/atomic"
