Let a coordinator that was followed see it in the ranks' versions

One that had not given an order since another took over was not refused by any engine, and made new versions, all too low, for good.

Change: ranks that have a version of a higher fencing number end it.

--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -219,6 +219,21 @@
 	return c.fence.Load()*versionsPerFence + c.versions
 }
 
+// followedBy says that ranks have a version of a coordinator with a higher number. A
+// coordinator that only found its own versions too low would make new ones for good.
+func (c *Coordinator) followedBy(status []mapswitch.Status) bool {
+	for _, s := range status {
+		newest := max(s.Map, s.Prepared)
+		if s.Armed != nil {
+			newest = max(newest, s.Armed.Version)
+		}
+		if newest/versionsPerFence > c.fence.Load() {
+			return true
+		}
+	}
+	return false
+}
+
 // look reads all engines and does for each group what is next. It returns whether a group is
 // being switched.
 func (c *Coordinator) look(ctx context.Context) bool {
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -71,6 +71,10 @@
 	if status == nil || !g.begin(members) {
 		return false
 	}
+	if g.c.followedBy(status) {
+		g.c.fenced = true
+		return false
+	}
 	slices.SortFunc(members, func(a, b *member) int { return int(a.reply.GetState().GetRank() - b.reply.GetState().GetRank()) })
 	g.measure(members, now)
 	g.observe(members, now)
