Never wait for the log, and count by kind, team and wait

Cause: each line was written by the request that logged it; with nobody reading, traffic would have stopped.

Metrics by kind, by team (64 by name) and result, times to the turn, to the first byte and of the whole, ages of what is believed.

The bound on added latency at full load is not measured.

--- a/internal/command/daemon/gateway.go
+++ b/internal/command/daemon/gateway.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -25,6 +26,9 @@
 	return onPlatform("rank-agent", "Run the process beside a model engine, on the users' platform.", serve)
 }
 
+// logPatience is how long a process that ends waits for its log to be read.
+const logPatience = 200 * time.Millisecond
+
 // onPlatform makes the command of a process whose settings come from the platform, and
 // whose log goes to standard output, as the platform collects it.
 func onPlatform(name, description string, serve func(context.Context, *platform.Settings, log.Logger) error) *cli.Command {
@@ -37,7 +41,9 @@
 		if err != nil {
 			return err
 		}
-		logger, _, err := logging.New(out, least)
+		lines := logging.NewAsync(out)
+		defer lines.Close(logPatience)
+		logger, _, err := logging.New(lines, least)
 		if err != nil {
 			return cli.Usage("%v.", err)
 		}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -75,8 +75,7 @@
 	arrivals *rate.Limiter
 }
 
-func newFleet(b bounds) *fleet {
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+func newFleet(b bounds, rng *rand.Rand) *fleet {
 	return &fleet{
 		bounds: b,
 		// Reports here are the other entries' own counts, a fraction of a second old.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,7 +89,7 @@
 		fleet: newFleet(bounds{
 			coldOver: s.Bounds.ColdOver, coldSlack: s.Bounds.ColdSlack,
 			retryRatio: s.Bounds.RetryRatio, retrySlack: s.Bounds.RetrySlack,
-		}),
+		}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		pool:    upstream.NewPool(connectTime),
 		metrics: newCounters(),
 		peerClient: &http.Client{Transport: &http.Transport{
@@ -208,7 +208,7 @@
 		return mux
 	}
 	admin := http.NewServeMux()
-	admin.HandleFunc("GET /metrics", g.metrics.serve)
+	admin.HandleFunc("GET /metrics", g.serveMetrics)
 	admin.HandleFunc("GET /debug/state", g.serveDump)
 	all := []endpoint{
 		{"callers", g.settings.Listen.Callers, g},
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -271,13 +271,21 @@
 // served counts and logs a request whose caller has the answer of a backend server.
 func (g *Gateway) served(t *task, server string) {
 	g.metrics.served.Inc(1)
-	g.metrics.took.Update(int64((clock.Now() - t.arrived) / time.Millisecond))
+	g.metrics.took.Update(t.elapsed().Milliseconds())
+	g.metrics.waited.Update(t.waited.Milliseconds())
+	if t.out.firstAt > 0 {
+		g.metrics.first.Update((t.out.firstAt - t.arrived).Milliseconds())
+	}
+	g.metrics.ended(t.route.Kind.String(), t.team, true)
 	g.logServed(t, server)
 }
 
 // refuse answers with a result of the system's own.
 func (g *Gateway) refuse(t *task, err *result.Error) {
 	g.metrics.result(err.Code)
+	if t.route != nil {
+		g.metrics.ended(t.route.Kind.String(), t.team, false)
+	}
 	g.logEnd(t, "A request was refused.", result.Label(err.Code))
 	h := t.out.w.Header()
 	err.SetHeader(h)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"sync"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -23,19 +25,61 @@
 type counters struct {
 	registry                      metrics.Registry
 	requests, served, gone, again metrics.Counter
-	took                          metrics.Histogram
+	took, waited, first           metrics.Histogram
+
+	mu sync.Mutex
+	// teams are those counted by name.
+	teams map[string]bool
 }
 
 func newCounters() *counters {
 	r := metrics.NewRegistry()
+	sample := func() metrics.Sample { return metrics.NewExpDecaySample(sampleSize, sampleAlpha) }
 	return &counters{
 		registry: r,
 		requests: metrics.NewRegisteredCounter("gateway.requests", r),
 		served:   metrics.NewRegisteredCounter("gateway.answers.whole", r),
 		gone:     metrics.NewRegisteredCounter("gateway.callers.gone", r),
 		again:    metrics.NewRegisteredCounter("gateway.attempts.again", r),
-		took:     metrics.NewRegisteredHistogram("gateway.took.ms", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+		took:     metrics.NewRegisteredHistogram("gateway.took.ms", r, sample()),
+		waited:   metrics.NewRegisteredHistogram("gateway.waited.ms", r, sample()),
+		first:    metrics.NewRegisteredHistogram("gateway.first.ms", r, sample()),
+		teams:    make(map[string]bool),
+	}
+}
+
+const (
+	// kindPrefix and teamPrefix begin the names of the counters by kind and by team.
+	kindPrefix = "gateway.kind."
+	teamPrefix = "gateway.team."
+	// mostTeams bounds the teams counted by name; the rest are summed under otherTeams.
+	// Thousands of names would make the page longer than anybody reads.
+	mostTeams  = 64
+	otherTeams = "OTHERS"
+)
+
+// ended counts a request by kind, team and whether the caller has a backend server's answer.
+func (c *counters) ended(kind, team string, served bool) {
+	outcome := ".refused"
+	if served {
+		outcome = ".served"
 	}
+	metrics.GetOrRegisterCounter(kindPrefix+kind+outcome, c.registry).Inc(1)
+	metrics.GetOrRegisterCounter(teamPrefix+c.counted(team)+outcome, c.registry).Inc(1)
+}
+
+// counted is the name that a team is counted under.
+func (c *counters) counted(team string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.teams[team] {
+		return team
+	}
+	if len(c.teams) >= mostTeams {
+		return otherTeams
+	}
+	c.teams[team] = true
+	return team
 }
 
 // result counts an answer of the system's own.
@@ -43,8 +87,17 @@
 	metrics.GetOrRegisterCounter(resultPrefix+result.Of(code).Name, c.registry).Inc(1)
 }
 
-// serve writes a line name value for each metric.
-func (c *counters) serve(w http.ResponseWriter, _ *http.Request) {
+// serveMetrics writes a line name value for each metric, and the ages of what is believed.
+func (g *Gateway) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	if v := g.view.Load(); v != nil {
+		_, _ = fmt.Fprintf(w, "gateway.config.age.ms %d\ngateway.servers.age.ms %d\ngateway.entries %d\n",
+			age(v.configAt), age(v.serversAt), v.entries)
+	}
+	g.metrics.write(w)
+}
+
+// write writes a line name value for each metric.
+func (c *counters) write(w io.Writer) {
 	c.registry.Each(func(name string, m any) {
 		switch m := m.(type) {
 		case metrics.Counter:
--- a/internal/gateway/output.go
+++ b/internal/gateway/output.go
@@ -4,7 +4,9 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"time"
 
+	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/sse"
 )
 
@@ -14,6 +16,8 @@
 	rc *http.ResponseController
 	// begun says that the head of the answer has been written.
 	begun bool
+	// firstAt is when it was; zero before.
+	firstAt time.Duration
 	// offered says that the request has gone to a backend server.
 	offered bool
 	// lastID is the ID of the last event passed on.
@@ -33,6 +37,7 @@
 // begin writes the head of an answer.
 func (o *output) begin(status int, header http.Header) {
 	o.begun = true
+	o.firstAt = clock.Now()
 	h := o.w.Header()
 	closing := h.Get("Connection")
 	maps.Copy(h, header)
