Make two tests of store readers wait for reads under way

Cause: with the fetch from other entries taken out, the test of an entry that the store turns away stayed green: a read that waited already brought the new version. Change: the tests wait until no read is under way.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -362,6 +362,8 @@
 		e.until("both know of each other", func() bool { return len(e.view.Load().addresses) == 2 })
 	}
 	door.shut.Store(true)
+	// A read that waits already would still bring what comes.
+	one.until("no read is under way", func() bool { return door.under.Load() == 0 })
 	store.configure(2, testRoutes(), "key-1")
 	one.until("the first has the new version", func() bool { return one.view.Load().table.Version == 2 })
 	if r := one.ask("GET", "/look/1", "k", func(r *http.Request) { r.Header.Set("Api-Key", "key-2") }); r.status != 401 {
@@ -387,8 +389,7 @@
 	hearing.Store.Address = door.address
 	one, two := start(t, reading), start(t, hearing)
 	two.until("the second one leaves reading to the first", func() bool { return !two.reads.Load() })
-	// A read that was under way may still end.
-	time.Sleep(operatorsWait + answerTime)
+	two.until("no read is under way", func() bool { return door.under.Load() == 0 })
 	before := door.calls.Load()
 	store.configure(2, testRoutes(), "key-1")
 	two.until("it has the new version", func() bool { return two.view.Load().table.Version == 2 })
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -54,6 +54,8 @@
 	address string
 	shut    atomic.Bool
 	calls   atomic.Int64
+	// under are the calls under way.
+	under atomic.Int64
 }
 
 func (s *fakeStore) door(t *testing.T) *door {
@@ -61,6 +63,8 @@
 	handler := s.handler()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.calls.Add(1)
+		d.under.Add(1)
+		defer d.under.Add(-1)
 		if d.shut.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
