Send what must not repeat over a new connection

A comment said that they took no such risk; the code did.

Change: requests of routes that must not repeat open a connection of their own.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,9 +63,11 @@
 
 func (a *try) run(ctx context.Context) verdict {
 	limit := a.g.fleet.connections(a.server.ID)
-	// A request that must not repeat takes no risk of crossing the close of a kept
-	// connection: whether it was read then could not be told.
-	conn, err := a.g.pool.Get(ctx, a.server.ID, a.server.Address, limit, false)
+	// A request that must not repeat goes over a new connection. A kept one may have gone
+	// silent, or be closed just now: whether the request was read could not be told, and it
+	// is lost though it never ran.
+	fresh := a.t.route.Kind == routing.Once
+	conn, err := a.g.pool.Get(ctx, a.server.ID, a.server.Address, limit, fresh)
 	if err != nil {
 		if errors.Is(err, upstream.ErrFull) {
 			a.fate = fateRefused
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -89,6 +89,28 @@
 	}
 }
 
+// Something on the way loses track of open connections, and what is sent on one comes to
+// nothing while new ones work. Look-ups may be sent again; a push would be lost, so that it
+// goes over a connection of its own.
+func TestAPushGoesOverANewConnection(t *testing.T) {
+	t.Parallel()
+	_, servers, e := world(t, echo)
+	for i := range 6 {
+		id := "n" + string(rune('a'+i))
+		if r := e.ask("GET", "/look/1", id); r.status != 200 {
+			t.Fatalf("look-up: %+v", r)
+		}
+		if r := e.ask("POST", "/push/1", id); r.status != 200 {
+			t.Fatalf("push: %+v", r)
+		}
+	}
+	for _, got := range servers[0].got() {
+		if got.request.Method == "POST" && !got.first {
+			t.Error("a push went over a kept connection")
+		}
+	}
+}
+
 // A full server refuses a push and says that it has not run. The caller is told so, and when
 // to come back.
 func TestARefusedPushHasNotRun(t *testing.T) {
