Split what had grown long in the gateway and the coordinator

What entries tell each other of the store, how engines are asked, and the tests of streams stand in files of their own.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -25,10 +24,6 @@
 // lapsed registrations, beats that are due.
 const tick = 50 * time.Millisecond
 
-// askPeersEach is the least time between two questions to other entries for what the store
-// would have said.
-const askPeersEach = 300 * time.Millisecond
-
 // view is what traffic goes by. It is never changed: the control goroutine publishes a new
 // one in its place.
 type view struct {
@@ -299,121 +294,6 @@
 	return engines
 }
 
-// freshFor is how long what an entry was told by the store counts as fresh: the longest time
-// between two answers in a calm, and a margin. Past it the others read for themselves, well
-// before a configuration or a leaving server must be known.
-const freshFor = 1500 * time.Millisecond
-
-// chooseReads decides whether this entry reads the store: as the one for its failure domain,
-// while it does not know enough, or while nobody it hears has fresh word of both topics.
-func (c *control) chooseReads(self *api.PeerBeat, live []*api.PeerBeat, now time.Duration) {
-	reads := peering.Reads(self, live) || !c.operators.Ready() || !c.servers.Ready()
-	operators, servers := freshest(live)
-	reads = reads || operators > freshFor || servers > freshFor
-	if !reads {
-		c.operatorsAt = max(c.operatorsAt, now-operators)
-		c.serversAt = max(c.serversAt, now-servers)
-		c.serversAway = false
-	}
-	c.g.reads.Store(reads)
-}
-
-// freshest returns the ages of the newest word that a live entry has from the store itself.
-func freshest(live []*api.PeerBeat) (operators, servers time.Duration) {
-	operators, servers = time.Hour, time.Hour
-	for _, b := range live {
-		if ms := b.GetOperatorsAgeMs(); ms >= 0 {
-			operators = min(operators, time.Duration(ms)*time.Millisecond)
-		}
-		if ms := b.GetServersAgeMs(); ms >= 0 {
-			servers = min(servers, time.Duration(ms)*time.Millisecond)
-		}
-	}
-	return operators, servers
-}
-
-// askPeers fetches from another entry what it has read beyond this one.
-//
-// Load: the store turns this entry away and serves the others, or others read it for this
-// one. Harm prevented: it goes on by an old configuration, lets in a key that was taken
-// away, and sends to a failure domain that is out.
-func (c *control) askPeers(live []*api.PeerBeat, now time.Duration) {
-	if c.asking || now-c.askedAt < askPeersEach {
-		return
-	}
-	var ahead []*api.PeerBeat
-	for _, b := range live {
-		if b.GetOperatorsChanged() > c.operators.Next() || b.GetServersChanged() > c.servers.Next() {
-			ahead = append(ahead, b)
-		}
-	}
-	if len(ahead) == 0 || c.g.reads.Load() && !c.stale(now) {
-		return
-	}
-	c.asking = true
-	c.askedAt = now
-	// Any of them, so that one is not asked by all.
-	b := ahead[rand.IntN(len(ahead))]
-	go c.g.fetchState(b.GetIp(), c.operators.Next(), c.servers.Next())
-}
-
-// stale says that this entry's own reads of the store are late: others may know more.
-func (c *control) stale(now time.Duration) bool {
-	return c.serversAway || !c.operators.Ready() || now-c.operatorsAt > freshFor || now-c.serversAt > freshFor
-}
-
-// fetched is what another entry holds, or nil when it did not answer.
-type fetched struct {
-	from  string
-	state *api.PeerState
-	err   error
-}
-
-func (c *control) takeState(f fetched) {
-	c.asking = false
-	if f.err != nil {
-		_ = level.Warn(c.logger).Log("msg", "Another entry did not tell what it holds.", "entry", f.from, "err", f.err,
-			"result", result.Label(api.ResultCode_LOG_UNAVAILABLE))
-		return
-	}
-	now := clock.Now()
-	c.takeTopic(platform.TopicOperators, c.operators, f.state.GetOperators(), now)
-	c.takeTopic(platform.TopicServers, c.servers, f.state.GetServers(), now)
-	_ = level.Info(c.logger).Log("msg", "Took what another entry holds.", "entry", f.from,
-		"operators_next", c.operators.Next(), "servers_next", c.servers.Next())
-}
-
-func (c *control) takeTopic(topic string, table *keyed.Table, t *api.KeyedTopic, now time.Duration) {
-	if !t.GetKnown() {
-		return
-	}
-	listing := &platform.Listing{End: t.GetNext()}
-	for _, r := range t.GetRecords() {
-		listing.Records = append(listing.Records, keyed.Record{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset()})
-	}
-	c.take(topic, table, listing, nil, now)
-}
-
-// state is what this entry holds beyond what another one has read.
-func (c *control) state(ask stateRequest) *api.PeerState {
-	state := &api.PeerState{}
-	if c.operatorsChangedAt > ask.operators || ask.operators == 0 {
-		state.Operators = topicState(c.operators)
-	}
-	if c.serversChangedAt > ask.servers || ask.servers == 0 {
-		state.Servers = topicState(c.servers)
-	}
-	return state
-}
-
-func topicState(table *keyed.Table) *api.KeyedTopic {
-	t := &api.KeyedTopic{Known: table.Ready(), Next: table.Next()}
-	for _, r := range table.Records() {
-		t.Records = append(t.Records, &api.KeyedRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
-	}
-	return t
-}
-
 // mostOthers bounds the entries that a beat names, so that a beat fits into one datagram.
 const mostOthers = 8
 
