--- a/internal/experts/asking.go
+++ b/internal/experts/asking.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"strconv"
 	"sync"
 	"time"
 
@@ -92,11 +90,11 @@
 		}
 		return reply
 	}
-	host, _, err := net.SplitHostPort(e.Address)
+	beside, err := ranks.Beside(e.Address, c.peerPort)
 	if err != nil {
 		return nil
 	}
-	reply, err := ranks.Via(ctx, c.client, net.JoinHostPort(host, strconv.Itoa(c.peerPort)), req)
+	reply, err := ranks.Via(ctx, c.client, beside, req)
 	if err != nil {
 		if !errors.Is(err, context.Canceled) {
 			_ = level.Warn(c.logger).Log("msg", "The process beside an engine does not answer.", "server", e.ID, "err", err,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,7 +50,10 @@
 	a := &try{g: g, t: t, server: s, fate: fateUnknown}
 	v := a.run(ctx)
 	if a.conn != nil {
+		t.history.sent++
 		a.conn.Release(a.resp, a.whole, a.answer.KeepAlive, clock.Now())
+	} else {
+		t.history.unsent++
 	}
 	if v != delivered && ctx.Err() != nil {
 		v = over
@@ -78,7 +81,6 @@
 		return unsent
 	}
 	a.conn = conn
-	a.t.out.offered = true
 	a.resp, err = conn.RoundTrip(ctx, a.request(), a.matches)
 	if err != nil {
 		return a.broke(err)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -41,7 +41,7 @@
 	// followed says that another entry coordinates with a higher number.
 	followed bool
 	engines  []experts.Engine
-	// configAt is when the configuration was last known to be the newest, storeAt when the
+	// configAt is when the configuration was last known to be the newest, serversAt when the
 	// registrations were.
 	configAt, serversAt time.Duration
 }
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"hash/fnv"
 	"net/http"
 	"time"
 
@@ -43,11 +44,9 @@
 	if len(addresses) <= mostAddresses {
 		return addresses
 	}
-	sum := uint32(2166136261)
-	for _, b := range []byte(caller) {
-		sum = (sum ^ uint32(b)) * 16777619
-	}
-	from := int(sum % uint32(len(addresses)))
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(caller))
+	from := int(sum.Sum32() % uint32(len(addresses)))
 	part := make([]string, 0, mostAddresses)
 	for i := range mostAddresses {
 		part = append(part, addresses[(from+i)%len(addresses)])
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -173,14 +173,11 @@
 			g.expired(ctx, t)
 			return
 		case unsent:
-			t.history.unsent++
 		case notRun:
-			t.history.sent++
 			if g.fleet.shed(s.ID) {
 				go g.watch(s)
 			}
 		case ranBadly, broken:
-			t.history.sent++
 			t.history.mayHaveRun = true
 		}
 		g.logAttempt(t, s, v, failure)
@@ -253,7 +250,7 @@
 		g.cut(t, api.ResultCode_DEADLINE_EXCEEDED)
 	case t.out.fallback != nil:
 		t.out.deliverFallback()
-	case t.history.sent == 0 && !t.out.offered:
+	case t.history.sent == 0:
 		g.refuse(t, result.New(api.ResultCode_DEADLINE_UNREACHABLE))
 	default:
 		g.refuse(t, result.New(api.ResultCode_DEADLINE_EXCEEDED))
--- a/internal/gateway/output.go
+++ b/internal/gateway/output.go
@@ -18,8 +18,6 @@
 	begun bool
 	// firstAt is when it was; zero before.
 	firstAt time.Duration
-	// offered says that the request has gone to a backend server.
-	offered bool
 	// lastID is the ID of the last event passed on.
 	lastID string
 	// fallback is the failure that a backend server answered, for when no other does better.
--- a/internal/gateway/shut.go
+++ b/internal/gateway/shut.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"strconv"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -77,11 +75,11 @@
 func (g *Gateway) open(s registry.Server) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), platform.EngineTime)
 	defer cancel()
-	host, _, err := net.SplitHostPort(s.Address)
+	beside, err := ranks.Beside(s.Address, g.settings.PeerPort)
 	if err != nil {
 		return true
 	}
-	reply, err := ranks.Via(ctx, g.peerClient, net.JoinHostPort(host, strconv.Itoa(g.settings.PeerPort)), &api.RankRequest{})
+	reply, err := ranks.Via(ctx, g.peerClient, beside, &api.RankRequest{})
 	if err != nil {
 		reply = ranks.Ask(ctx, platform.NewEngine(s.Address, g.peerClient), &api.RankRequest{})
 	}
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -6,7 +6,9 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
@@ -62,6 +64,16 @@
 	return reply
 }
 
+// Beside is the address of the process beside an engine: on the engine's VM, at the port that
+// all processes of the system listen on.
+func Beside(engine string, port int) (string, error) {
+	host, _, err := net.SplitHostPort(engine)
+	if err != nil {
+		return "", errors.Wrap(err, "rank")
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port)), nil
+}
+
 // Via asks the process beside an engine, at an address.
 func Via(ctx context.Context, client *http.Client, address string, req *api.RankRequest) (*api.RankReply, error) {
 	data, err := proto.Marshal(req)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,11 +28,9 @@
 // Conn is a connection to a backend server. It carries one request at a time.
 type Conn struct {
 	net.Conn
-	pool   *Pool
-	server string
-	br     *bufio.Reader
-	// reused says that an earlier request went over the connection.
-	reused    bool
+	pool      *Pool
+	server    string
+	br        *bufio.Reader
 	idleSince time.Duration
 	// keep is how long the backend server lets the connection be idle.
 	keep time.Duration
@@ -40,10 +38,6 @@
 	written chan error
 }
 
-// Reused says that the connection has carried a request before, so that the backend server
-// may have closed it just now.
-func (c *Conn) Reused() bool { return c.reused }
-
 // RoundTrip writes a request once and reads the head of its answer. matches says whether an
 // answer is that of this request; others are passed over, since a faulty backend server may
 // answer twice. Once ctx ends the connection is closed. The caller reads the body and calls
@@ -124,7 +118,6 @@
 		c.drop()
 		return
 	}
-	c.reused = true
 	c.idleSince = now
 	c.keep = keep
 	c.pool.put(c)
