Do not keep a connection with the end of a refusal on it

Cause: refused() read at most 1 MB of a refusal's body and took that as all of it. The rest stayed on the kept connection; when it came only with the next request, it was read as that request's answer if it carried no id.

Change: 64 kB of a refusal are read; a longer one closes the connection.

Before: TestTheRestOfALongRefusalIsNobodysAnswer, the next caller got 200 "crossed". A first form of the test, which sent the rest at once, passed before the mend: bytes that have come already are noticed when a connection is taken. After: it gets its own answer; all tests of internal/gateway pass.

Conclusion: an answer without an id still counts as that of the request that waits; with nothing left over on kept connections it can only be that one's.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,6 +24,8 @@
 	// maxHeld is how much of an answer is held back until it is whole, bytes. Up to this
 	// size an answer that breaks off can be asked for again, unseen by the caller.
 	maxHeld = 1 << 20
+	// maxRefusal is how much of a refusal's body is read, bytes; refusals are a sentence.
+	maxRefusal = 64 << 10
 	// copyBuffer is the buffer for the rest of longer answers, bytes.
 	copyBuffer = 32 << 10
 )
@@ -149,10 +151,13 @@
 }
 
 // refused ends an attempt that the backend server did not take.
+//
+// A body that is longer than what is read of it leaves its end on the connection, which is
+// then not used again: the end would be read as the answer to the next request there.
 func (a *try) refused() verdict {
 	a.fate = fateRefused
-	_, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, maxHeld))
-	a.whole = err == nil
+	n, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, maxRefusal+1))
+	a.whole = err == nil && n <= maxRefusal
 	return notRun
 }
 
--- /dev/null
+++ b/internal/gateway/kept_test.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// A full server refuses a look-up with a body longer than anyone reads, and keeps the
+// connection. Its end is late and comes when the next request is sent there, and it looks
+// like an answer without an id. The next caller must get the answer to its own request, and
+// never what is left of another's.
+func TestTheRestOfALongRefusalIsNobodysAnswer(t *testing.T) {
+	t.Parallel()
+	leftover := "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 7\r\n\r\ncrossed"
+	_, _, e := world(t, func(s seen, conn net.Conn) bool {
+		if s.request.Header.Get("Attempt-Id") != "full" {
+			if !s.first {
+				_, _ = io.WriteString(conn, leftover)
+			}
+			return echo(s, conn)
+		}
+		_, _ = io.WriteString(conn, fmt.Sprintf(
+			"HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: full\r\nNot-Executed: 1\r\nKeep-Alive: timeout=30\r\nContent-Length: %d\r\n\r\n%s",
+			maxHeld+len(leftover), strings.Repeat("x", maxHeld)))
+		return true
+	})
+	if r := e.ask("GET", "/look/1", "full"); r.status != http.StatusServiceUnavailable {
+		t.Fatalf("the refused caller got %d %q", r.status, r.body)
+	}
+	if r := e.ask("GET", "/look/1", "next"); r.body != "answer to next" {
+		t.Errorf("the next caller got %d %q", r.status, r.body)
+	}
+}
