Bound the log by kinds of lines, and give its keys one vocabulary

Cause: every sentence had 10 lines a second and no bound held over all of them; a fault of every request and the refusals it causes were told apart only by sentence, answers that went well had as much room as refusals, and what was left out showed nowhere but in the next line of the same sentence. Keys meant different things in different parts, durations had three forms, and lines about a request did not say what room was seen or which server was chosen for what.

Change: logging.Bound keeps the lines of any second under one setting (--log-lines, [log] lines_per_second; 200), a part for each of served requests, failed ones and the process's beliefs, half of a part for one sentence; counts what is left out in lines and metrics. Entry and agent log to standard output through the same ring as gateway and rank-agent. logging.Keys is the vocabulary, in docs/LOGS.md; a test holds the code to it. Lines about requests say request (id before), the server with its load when chosen, the places of the service with their age, why no further attempt follows; late answers and second attempts are told from plain ones. New lines: registrations, other entries heard and silent, servers left out, their pace, groups that refuse.

--- a/decide/eject/eject.go
+++ b/decide/eject/eject.go
@@ -51,20 +51,23 @@
 }
 
 // Unreachable says that a server could not be connected to. It is ejected at once: nothing
-// that a request does makes a server refuse connections.
-func (j *Judge) Unreachable(id string, now time.Duration) {
+// that a request does makes a server refuse connections. It returns for how long the server
+// is out by this, zero if it was out already.
+func (j *Judge) Unreachable(id string, now time.Duration) time.Duration {
 	r := j.record(id)
 	r.run = max(r.run, j.cfg.Run)
-	j.eject(r, now)
+	return j.eject(r, now)
 }
 
-// Failed says that a server failed a request.
-func (j *Judge) Failed(id string, now time.Duration) {
+// Failed says that a server failed a request. It returns for how long the server is out by
+// this, zero if it is not.
+func (j *Judge) Failed(id string, now time.Duration) time.Duration {
 	r := j.record(id)
 	r.run++
-	if r.run >= j.cfg.Run {
-		j.eject(r, now)
+	if r.run < j.cfg.Run {
+		return 0
 	}
+	return j.eject(r, now)
 }
 
 // Served says that a server has served a request.
@@ -97,9 +100,9 @@
 
 // eject takes a server out, unless it is out already: failures of requests that were sent
 // before count once.
-func (j *Judge) eject(r *record, now time.Duration) {
+func (j *Judge) eject(r *record, now time.Duration) time.Duration {
 	if now < r.until {
-		return
+		return 0
 	}
 	if r.last == 0 {
 		r.last = j.cfg.First
@@ -107,4 +110,5 @@
 		r.last = min(2*r.last, j.cfg.Most)
 	}
 	r.until = now + r.last
+	return r.last
 }
--- a/internal/admin/show.go
+++ b/internal/admin/show.go
@@ -82,7 +82,10 @@
 		values = gauges(status)
 	}
 	addProcess(values)
-	h.process.Metrics().Each(func(name string, metric any) { collect(values, name, metric) })
+	// The default registry holds what the packages count that know no process, as the log.
+	for _, registry := range []metrics.Registry{h.process.Metrics(), metrics.DefaultRegistry} {
+		registry.Each(func(name string, metric any) { collect(values, name, metric) })
+	}
 	if r.URL.Query().Get("format") == "json" {
 		writeJSON(w, values)
 		return
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -93,7 +93,7 @@
 		group.Add(func() error { return a.group.run(work) }, func(error) { stop() })
 	}
 	group.Add(func() error { return a.drainAfter(ctx, work) }, func(error) { stop() })
-	_ = logger.Log("msg", "The agent has started.", "vm", a.self.GetVm(), "incarnation", a.self.GetIncarnation())
+	_ = logger.Log("msg", "The agent has started.", "incarnation", a.self.GetIncarnation())
 	err = group.Run()
 	if errors.Is(err, context.Canceled) {
 		return nil
--- a/internal/command/daemon/daemon.go
+++ b/internal/command/daemon/daemon.go
@@ -22,10 +22,6 @@
 	"github.com/apricothub/apricothub/internal/settings"
 )
 
-// linesPerSecond bounds each sentence of the log: enough to follow a fault by, and
-// little enough for a collector when thousands of requests meet the same one.
-const linesPerSecond = 10
-
 const signals = "\n  Signals:\n" +
 	"    SIGTERM, SIGINT   Stop gracefully: no request is cut. A second one stops at once.\n" +
 	"    SIGHUP            Read the settings that may change while the process runs.\n"
@@ -33,13 +29,13 @@
 // Entry makes the command that runs an entry.
 func Entry(serve func(context.Context, *api.EntrySettings, log.Logger) error) *cli.Command {
 	return command("entry", "Run an entry: the process that callers reach.", settings.LoadEntry,
-		(*api.EntrySettings).GetLog, serve)
+		(*api.EntrySettings).GetSelf, (*api.EntrySettings).GetLog, serve)
 }
 
 // Agent makes the command that runs an agent.
 func Agent(serve func(context.Context, *api.AgentSettings, log.Logger) error) *cli.Command {
 	return command("agent", "Run an agent: the process before a backend server.", settings.LoadAgent,
-		(*api.AgentSettings).GetLog, func(ctx context.Context, s *api.AgentSettings, logger log.Logger) error {
+		(*api.AgentSettings).GetSelf, (*api.AgentSettings).GetLog, func(ctx context.Context, s *api.AgentSettings, logger log.Logger) error {
 			boundProcessors(agentProcessors)
 			return serve(ctx, s, logger)
 		})
@@ -49,6 +45,7 @@
 func command[S proto.Message](
 	name, description string,
 	load func(path string) (S, error),
+	selfOf func(S) *api.Self,
 	logOf func(S) *api.Log,
 	serve func(context.Context, S, log.Logger) error,
 ) *cli.Command {
@@ -56,7 +53,7 @@
 	sub := cli.New(name, description, "apricothub "+name+" -c /etc/apricothub/"+name+".ini")
 	sub.AdditionalHelpAppend = signals + sub.AdditionalHelpAppend
 	sub.String(&path, "c", "config", "Settings file (INI); docs/SETTINGS.md lists its keys.")
-	return &cli.Command{Sub: sub, Run: func(ctx context.Context, _, notes io.Writer) error {
+	return &cli.Command{Sub: sub, Run: func(ctx context.Context, out, _ io.Writer) error {
 		if path == "" {
 			return cli.Usage("Name the settings file: -c FILE.")
 		}
@@ -64,14 +61,15 @@
 		if err != nil {
 			return err
 		}
-		logger, least, err := logging.New(notes, logOf(loaded).GetLevel())
+		bounds := logOf(loaded)
+		logger, err := logging.Open(out, name, selfOf(loaded).GetVm(), bounds.GetLevel(), int(bounds.GetLinesPerSecond()))
 		if err != nil {
 			return errors.Wrap(err, "log level")
 		}
-		logger = logging.Part(logging.Limited(logger, linesPerSecond), name)
+		defer logger.Close()
 		r := newReloader(
 			func() (S, error) { return load(path) },
-			func(s S) error { return least.Set(logOf(s).GetLevel()) },
+			func(s S) error { return logger.Set(logOf(s).GetLevel()) },
 			logger, loaded,
 		)
 		return untilSignal(ctx, r.watch, func(ctx context.Context) error { return serve(ctx, loaded, logger) })
--- a/internal/command/daemon/gateway.go
+++ b/internal/command/daemon/gateway.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -26,36 +25,35 @@
 	return onPlatform("rank-agent", "Run the process beside a model engine, on the users' platform.", serve)
 }
 
-// logPatience is how long a process that ends waits for its log to be read.
-const logPatience = 200 * time.Millisecond
-
 // onPlatform makes the command of a process whose settings come from the platform, and
 // whose log goes to standard output, as the platform collects it.
 func onPlatform(name, description string, serve func(context.Context, *platform.Settings, log.Logger) error) *cli.Command {
-	least := "info"
+	least, lines := "info", logging.DefaultLines
 	sub := cli.New(name, description, "apricothub "+name)
 	sub.AdditionalHelpAppend = signals + sub.AdditionalHelpAppend
 	sub.String(&least, "l", "log-level", "Least level of the log: debug, info, warn or error.")
+	sub.Int(&lines, "n", "log-lines", "Most lines of the log in any second; 40 or more.")
 	return &cli.Command{Sub: sub, Run: func(ctx context.Context, out, _ io.Writer) error {
 		loaded, err := platform.LoadSettings()
 		if err != nil {
 			return err
 		}
-		lines := logging.NewAsync(out)
-		defer lines.Close(logPatience)
-		logger, _, err := logging.New(lines, least)
+		if lines < logging.LeastLines {
+			return cli.Usage("--log-lines %d is below %d.", lines, logging.LeastLines)
+		}
+		logger, err := logging.Open(out, name, loaded.VM, least, lines)
 		if err != nil {
 			return cli.Usage("%v.", err)
 		}
-		logger = logging.Part(logging.Limited(logger, linesPerSecond), name)
-		watch := func(ctx context.Context) error { return watchSettings(ctx, loaded, logger) }
+		defer logger.Close()
+		watch := func(ctx context.Context) error { return watchSettings(ctx, logger) }
 		return untilSignal(ctx, watch, func(ctx context.Context) error { return serve(ctx, loaded, logger) })
 	}}
 }
 
 // watchSettings reads the platform's settings on each SIGHUP. The addresses, and all else
 // that a process uses of them, hold for its life; what has changed is logged.
-func watchSettings(ctx context.Context, running *platform.Settings, logger log.Logger) error {
+func watchSettings(ctx context.Context, logger log.Logger) error {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
@@ -70,7 +68,7 @@
 					"result", badSettings, "err", err)
 				continue
 			}
-			_ = level.Info(logger).Log("msg", "The settings were read.", "seeds", len(next.Seeds), "vm", running.VM)
+			_ = level.Info(logger).Log("msg", "The settings were read.", "seeds", len(next.Seeds))
 		}
 	}
 }
--- a/internal/docgen/main.go
+++ b/internal/docgen/main.go
@@ -1,5 +1,5 @@
-// Command docgen writes the pages that are made from the schema:
-// docs/SETTINGS.md and docs/RESULT-CODES.md. Run it at the root of the repository;
+// Command docgen writes the pages that are made from the schema and the code:
+// docs/SETTINGS.md, docs/RESULT-CODES.md and docs/LOGS.md. Run it at the root of the repository;
 // a test checks that the pages are up to date.
 package main
 
@@ -13,6 +13,7 @@
 var pages = map[string]func() string{
 	"docs/SETTINGS.md":     settingsPage,
 	"docs/RESULT-CODES.md": resultsPage,
+	"docs/LOGS.md":         logsPage,
 }
 
 // pageMode lets everybody read the pages.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -96,7 +96,7 @@
 	group.Add(func() error { return e.keys.append(work) }, func(error) { stop() })
 	group.Add(func() error { return e.servePublic(work, server, public) }, func(error) { stop() })
 	group.Add(func() error { return e.drainAfter(ctx, work, server) }, func(error) { stop() })
-	_ = logger.Log("msg", "The entry has started.", "vm", e.self.GetVm(), "incarnation", e.self.GetIncarnation())
+	_ = logger.Log("msg", "The entry has started.", "incarnation", e.self.GetIncarnation())
 	err = group.Run()
 	if errors.Is(err, context.Canceled) {
 		return nil
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -244,7 +244,7 @@
 // done ends a target that is in use.
 func (g *group) done() {
 	_ = level.Info(g.c.logger).Log("msg", "A new expert map is in use.", "group", g.name, "epoch", g.epoch,
-		"version", g.target, "took", clock.Now()-g.began)
+		"version", g.target, "took_ms", (clock.Now() - g.began).Milliseconds())
 	g.target, g.plan = 0, nil
 	clear(g.held)
 }
--- a/internal/gateway/again.go
+++ b/internal/gateway/again.go
@@ -57,20 +57,21 @@
 	mayHaveRun bool
 }
 
-// another says whether a request may be given to one more backend server after an attempt.
+// another says whether a request may be given to one more backend server after an attempt,
+// and if not why, as logs show it.
 //
 // A request that must not repeat goes on only while it is certain that it has not run:
 // after an attempt of which nothing was sent, or that the backend server says it did not
 // run. Everything else goes on within the route's attempts.
-func another(v verdict, r *routing.Route, h history) bool {
-	switch v {
-	case unsent:
-		return h.unsent < mostUnsent
-	case notRun:
-		return h.sent < r.Attempts && (!h.mayHaveRun || r.Repeatable())
-	case ranBadly, broken:
-		return h.sent < r.Attempts && r.Repeatable()
+func another(v verdict, r *routing.Route, h history) (bool, string) {
+	switch {
+	case v == delivered || v == over:
+		return false, "it has ended"
+	case v == unsent:
+		return h.unsent < mostUnsent, "too many servers are out of reach"
+	case (v != notRun || h.mayHaveRun) && !r.Repeatable():
+		return false, "it may have run, and must not run twice"
 	default:
-		return false
+		return h.sent < r.Attempts, "the route's attempts are spent"
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,7 +12,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/apricothub/apricothub/coord/registry"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/routing"
 	"github.com/apricothub/apricothub/internal/sse"
@@ -34,7 +33,7 @@
 type try struct {
 	g      *Gateway
 	t      *task
-	server registry.Server
+	server placement
 	conn   *upstream.Conn
 	resp   *http.Response
 	answer platform.Answer
@@ -47,7 +46,7 @@
 
 // attempt takes a request to one backend server, and delivers the answer when it is one
 // that the caller should get.
-func (g *Gateway) attempt(ctx context.Context, t *task, s registry.Server) (verdict, error) {
+func (g *Gateway) attempt(ctx context.Context, t *task, s placement) (verdict, error) {
 	began := clock.Now()
 	a := &try{g: g, t: t, server: s, fate: fateUnknown}
 	v := a.run(ctx)
@@ -172,7 +171,7 @@
 	}
 	a.whole = true
 	a.fate = fateServed
-	held := &heldAnswer{status: a.resp.StatusCode, header: platform.IncomingHeader(a.resp.Header), body: body, server: a.server.ID}
+	held := &heldAnswer{status: a.resp.StatusCode, header: platform.IncomingHeader(a.resp.Header), body: body, server: a.server}
 	if a.resp.StatusCode >= http.StatusInternalServerError {
 		a.fate = fateFailed
 		if a.t.route.Repeatable() && !a.t.out.begun {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -71,6 +71,8 @@
 	asking      bool
 	sequence    uint64
 	live        int
+	// heard are the VMs of the entries that live.
+	heard map[string]bool
 }
 
 func newControl(g *Gateway, logger log.Logger, now time.Duration) *control {
@@ -195,7 +197,13 @@
 			"result", result.Label(api.ResultCode_BAD_LIST), "err", err)
 		return false
 	}
-	return c.registry.Put(s, now)
+	if !c.registry.Put(s, now) {
+		return false
+	}
+	_ = level.Info(c.logger).Log("msg", "A registration is new or has changed.", "server", s.ID, "service", s.Service,
+		"failure_domain", s.FailureDomain, "concurrency", s.Concurrency, "draining", s.Draining,
+		"cold_ms", s.Cold.Milliseconds(), "offset", change.Offset)
+	return true
 }
 
 // settle brings what is published up to date, and sends the beats that are due.
@@ -205,6 +213,7 @@
 		_ = level.Info(c.logger).Log("msg", "A backend server did not register again.", "server", id)
 	}
 	live := c.peers.Live(now)
+	c.logLive(live)
 	c.changed = c.changed || len(live)+1 != c.live
 	if c.changed && c.table != nil {
 		c.changed = false
@@ -219,6 +228,32 @@
 	c.beat(live, now)
 }
 
+// logLive logs the entries that are heard of from now on, and those that have gone silent.
+func (c *control) logLive(live []*api.PeerBeat) {
+	same := len(live) == len(c.heard)
+	for _, b := range live {
+		same = same && c.heard[b.GetVm()]
+	}
+	if same {
+		return
+	}
+	heard := make(map[string]bool, len(live))
+	for _, b := range live {
+		heard[b.GetVm()] = true
+		if !c.heard[b.GetVm()] {
+			_ = level.Info(c.logger).Log("msg", "Another entry is heard.", "vm", b.GetVm(), "failure_domain", b.GetFailureDomain(),
+				"serving", b.GetServing(), "live", len(live)+1)
+		}
+	}
+	for vm := range c.heard {
+		if !heard[vm] {
+			_ = level.Warn(c.logger).Log("msg", "Another entry is silent.", "vm", vm, "live", len(live)+1,
+				"result", result.Label(api.ResultCode_UNREACHABLE))
+		}
+	}
+	c.heard = heard
+}
+
 // othersOf sums the other entries' requests by backend server.
 func othersOf(live []*api.PeerBeat) map[string]int {
 	others := make(map[string]int)
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -5,9 +5,22 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/apricothub/apricothub/coord/registry"
+	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/internal/clock"
+	"github.com/apricothub/apricothub/internal/logging"
 	"github.com/apricothub/apricothub/internal/result"
+	"github.com/apricothub/apricothub/internal/routing"
+)
+
+const (
+	// lateFirst is when the first event of a stream is late: the aim for 95 of 100.
+	lateFirst = 560 * time.Millisecond
+	// lateGap is when the time between two events is late: ten times the aim for 95 of 100,
+	// which a reader notices.
+	lateGap = 640 * time.Millisecond
+	// latePart is the part of its time after which a whole answer is late: at the next such
+	// delay it would have missed its deadline.
+	latePart = 0.5
 )
 
 // age is how old a belief is, as logs show it; -1 for one that was never confirmed.
@@ -21,8 +34,10 @@
 // inputs are the fields of each line about a request: what was decided on, and how old what
 // was known is.
 func (g *Gateway) inputs(t *task) []any {
-	v := g.view.Load()
-	fields := []any{"id", t.ID, "took_ms", t.elapsed().Milliseconds(), "waited_ms", t.waited.Milliseconds(), "sent", t.history.sent, "unsent", t.history.unsent}
+	fields := []any{
+		logging.RequestKey, t.ID, "took_ms", t.elapsed().Milliseconds(), "waited_ms", t.waited.Milliseconds(),
+		"sent", t.history.sent, "unsent", t.history.unsent,
+	}
 	if t.route != nil {
 		fields = append(fields, "route", t.route.Name, "kind", t.route.Kind, "service", t.service, "team", t.team)
 	} else {
@@ -31,28 +46,84 @@
 	if t.until > 0 {
 		fields = append(fields, "left_ms", (t.until - clock.Now()).Milliseconds())
 	}
-	if v != nil && v.table != nil {
+	if t.out.lastID != "" {
+		fields = append(fields, "last_event", t.out.lastID)
+	}
+	if v := g.view.Load(); v != nil && v.table != nil {
 		fields = append(fields, "config", v.table.Version, "config_age_ms", age(v.configAt), "servers_age_ms", age(v.serversAt))
 	}
 	return fields
 }
 
-// logServed logs a request whose caller has the answer of a backend server.
-func (g *Gateway) logServed(t *task, server string) {
-	_ = level.Info(g.logger).Log(append([]any{"msg", "A request was served.", "server", server}, g.inputs(t)...)...)
+// roomFields are what is known of the places of a request's service.
+func (g *Gateway) roomFields(t *task) []any {
+	if t.service == "" {
+		return nil
+	}
+	r := g.fleet.room(t.service)
+	return []any{
+		"running", r.running, "waiting", r.waiting, "free", r.free, "capacity", r.capacity,
+		"registered", r.registered, "entries", r.entries, "room_age_ms", age(r.at),
+	}
+}
+
+func serverFields(s placement) []any {
+	return []any{"server", s.ID, "failure_domain", s.FailureDomain, "server_running", s.running, "server_limit", s.limit}
+}
+
+// line puts the fields of a line together.
+func line(msg string, parts ...[]any) []any {
+	fields := []any{"msg", msg}
+	for _, part := range parts {
+		fields = append(fields, part...)
+	}
+	return fields
+}
+
+// logServed logs a request whose caller has the answer of a backend server. One that was
+// late, or took more than one attempt, is told apart, since it has a cause to be found.
+func (g *Gateway) logServed(t *task, s placement) {
+	switch {
+	case t.late():
+		_ = level.Warn(g.logger).Log(line("A request was served late.", serverFields(s), t.times(), g.inputs(t), g.roomFields(t))...)
+	case len(t.tried) > 1:
+		_ = level.Warn(g.logger).Log(line("A request was served after another attempt.", serverFields(s), t.times(), g.inputs(t))...)
+	default:
+		_ = level.Info(g.logger).Log(line("A request was served.", serverFields(s), g.inputs(t))...)
+	}
+}
+
+// times are the fields that tell how an answer came.
+func (t *task) times() []any {
+	return []any{
+		"tried", len(t.tried), "first_ms", (t.out.firstAt - t.arrived).Milliseconds(), "gap_ms", t.out.gap.Milliseconds(),
+	}
+}
+
+// late says that an answer came later than its caller may expect.
+func (t *task) late() bool {
+	if t.route.Kind == routing.Stream {
+		return t.out.firstAt-t.arrived > lateFirst || t.out.gap > lateGap
+	}
+	return t.until > 0 && t.elapsed() > time.Duration(latePart*float64(t.until-t.arrived))
 }
 
 // logEnd logs a request that ended otherwise.
-func (g *Gateway) logEnd(t *task, msg, label string) {
-	fields := append([]any{"msg", msg, "result", label}, g.inputs(t)...)
-	_ = level.Warn(g.logger).Log(append(fields, "tried", len(t.tried))...)
-}
-
-// logAttempt logs an attempt that did not end the request.
-func (g *Gateway) logAttempt(t *task, s registry.Server, v verdict, err error) {
-	fields := append([]any{
-		"msg", "An attempt came to nothing.", "server", s.ID, "verdict", v,
-		"result", result.Label(v.code()), "err", err,
-	}, g.inputs(t)...)
-	_ = level.Warn(g.logger).Log(fields...)
+func (g *Gateway) logEnd(t *task, msg string, code api.ResultCode) {
+	failure := []any{"result", result.Label(code), "tried", len(t.tried)}
+	_ = level.Warn(g.logger).Log(line(msg, failure, g.inputs(t), g.roomFields(t))...)
+}
+
+// logGone logs a request whose caller did not wait for the answer.
+func (g *Gateway) logGone(t *task) {
+	_ = level.Warn(g.logger).Log(line("The caller has gone.", []any{"tried", len(t.tried)}, g.inputs(t))...)
+}
+
+// logAttempt logs an attempt that did not end the request, and whether another one follows.
+func (g *Gateway) logAttempt(t *task, s placement, v verdict, again bool, why string, err error) {
+	failure := []any{"verdict", v, "result", result.Label(v.code()), "err", err, "again", again}
+	if !again {
+		failure = append(failure, "why", why)
+	}
+	_ = level.Warn(g.logger).Log(line("An attempt came to nothing.", serverFields(s), failure, g.inputs(t))...)
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"golang.org/x/time/rate"
 
 	"github.com/apricothub/apricothub/api"
@@ -13,6 +15,7 @@
 	"github.com/apricothub/apricothub/decide/eject"
 	"github.com/apricothub/apricothub/decide/place"
 	"github.com/apricothub/apricothub/internal/experts"
+	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/internal/routing"
 )
 
@@ -58,6 +61,11 @@
 	// registered is what all servers of a service can hold, whether they may get work now or
 	// not, and running this entry's requests there.
 	registered, running map[string]int
+	// queued are the requests of a service that wait here, rooms what was last counted.
+	queued map[string]int
+	rooms  map[string]room
+
+	logger log.Logger
 }
 
 // server is one backend server.
@@ -87,6 +95,9 @@
 		admitter: admit.New(admit.Config{Queue: mostWaiting, MaxWait: longestWait, MostRetry: comeBackMost}),
 		waiting:  make(map[uint64]*waiter),
 		running:  make(map[string]int),
+		queued:   make(map[string]int),
+		rooms:    make(map[string]room),
+		logger:   log.NewNopLogger(),
 		shut:     make(map[string]bool),
 	}
 }
@@ -101,6 +112,11 @@
 	f.entries = max(live, 1)
 	f.setTeams(cfg)
 	f.registered = make(map[string]int)
+	for service := range f.rooms {
+		if cfg.Service(service) == nil {
+			delete(f.rooms, service)
+		}
+	}
 	old := f.servers
 	f.servers = make(map[string]*server, len(entries))
 	placed := make([]place.Server, 0, len(entries))
@@ -165,12 +181,21 @@
 	defer f.mu.Unlock()
 	for id, s := range f.servers {
 		s.others = others[id]
-		s.pace = paces[id].Slower
-		s.closed = paces[id].Closed
+		f.setPace(id, s, paces[id])
 	}
 	f.refresh(now)
 }
 
+// setPace takes in how slow a server is. The caller holds the lock.
+func (f *fleet) setPace(id string, s *server, p experts.Pace) {
+	limit, closed := s.limit(), s.closed
+	s.pace, s.closed = p.Slower, p.Closed
+	if s.limit() != limit || s.closed != closed {
+		_ = level.Info(f.logger).Log("msg", "A backend server gets work by its pace.", "server", id, "service", s.Service,
+			"pace", s.pace, "closed", s.closed, "limit", s.limit())
+	}
+}
+
 // limit is the number of requests to have at a server at once.
 //
 // Load: one engine of a lock-step group that is many times slower. Harm prevented: each of
@@ -208,9 +233,16 @@
 	left    time.Duration
 }
 
+// placement is a backend server that a request goes to, with what was known of it then.
+type placement struct {
+	registry.Server
+	// running are the requests there, this one included, and limit the most to have there.
+	running, limit int
+}
+
 // pick chooses a backend server and counts the request as sent there; end it with done. The
 // caller holds the lock.
-func (f *fleet) pick(n need, now time.Duration) (registry.Server, api.ResultCode) {
+func (f *fleet) pick(n need, now time.Duration) (placement, api.ResultCode) {
 	avoid := append([]string(nil), n.tried...)
 	cold := false
 	for {
@@ -219,7 +251,7 @@
 			if cold {
 				code = api.ResultCode_COLD
 			}
-			return registry.Server{}, code
+			return placement{}, code
 		}
 		s := f.servers[id]
 		if s.arrivals != nil && !s.arrivals.AllowN(epoch.Add(now), 1) {
@@ -229,7 +261,7 @@
 		}
 		s.own++
 		f.table.Started(id, now)
-		return s.Server, api.ResultCode_OK
+		return placement{Server: s.Server, running: s.own + s.others, limit: s.limit()}, api.ResultCode_OK
 	}
 }
 
@@ -269,9 +301,9 @@
 		}
 		s.work += (took - s.work) / workWeight
 	case fateFailed:
-		f.judge.Failed(id, now)
+		f.ejected(s, "it fails requests", f.judge.Failed(id, now))
 	case fateUnreachable:
-		f.judge.Unreachable(id, now)
+		f.ejected(s, "it cannot be reached", f.judge.Unreachable(id, now))
 	case fateRefused, fateUnknown:
 	}
 	f.table.Ended(id, now, place.Outcome{
@@ -284,6 +316,16 @@
 	}
 }
 
+// ejected logs that a server is out by what it just did.
+func (f *fleet) ejected(s *server, cause string, out time.Duration) {
+	if out == 0 {
+		return
+	}
+	_ = level.Warn(f.logger).Log("msg", "A backend server is left out for a while.", "server", s.ID, "service", s.Service,
+		"failure_domain", s.FailureDomain, "cause", cause, "for_ms", out.Milliseconds(),
+		"result", result.Label(api.ResultCode_BACKEND_FAILED))
+}
+
 // first counts a request of a service towards the retry budget.
 func (f *fleet) first(service string) {
 	f.mu.Lock()
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -90,7 +90,7 @@
 			pause = min(2*pause, retryMost)
 		} else {
 			if away != 0 {
-				_ = level.Info(f.logger).Log("msg", "The store answers again.", "topic", f.topic, "away", n.at-away)
+				_ = level.Info(f.logger).Log("msg", "The store answers again.", "topic", f.topic, "away_ms", (n.at - away).Milliseconds())
 			}
 			away = 0
 			pause = retryFirst
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,6 +106,7 @@
 		leave:         make(chan struct{}),
 		stopped:       make(chan struct{}),
 	}
+	g.fleet.logger = logging.Part(logger, "servers")
 	g.reads.Store(true)
 	g.experts = experts.New(s.VM, s.PeerPort, g, g.store, logging.Part(logger, "experts"))
 	return g
@@ -122,7 +123,7 @@
 		return err
 	}
 	s := g.settings
-	_ = level.Info(g.logger).Log("msg", "The process starts.", "vm", s.VM, "failure_domain", s.FailureDomain,
+	_ = level.Info(g.logger).Log("msg", "The process starts.", "failure_domain", s.FailureDomain,
 		"ip", s.IP, "store", s.Store.Address, "seeds", len(s.Seeds))
 	var group run.Group
 	// Whatever ends the group, the processes around the traffic stop last.
@@ -141,7 +142,7 @@
 	group.Add(func() error { return g.serveAll(ctx) }, func(error) { cancel() })
 	err := group.Run()
 	_ = g.socket.Close()
-	_ = level.Info(g.logger).Log("msg", "The process stops.", "uptime", clock.Now())
+	_ = level.Info(g.logger).Log("msg", "The process stops.", "uptime_ms", clock.Now().Milliseconds())
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
@@ -296,7 +297,7 @@
 	leave := g.leave
 	g.leaving.Store(true)
 	close(leave)
-	_ = level.Info(g.logger).Log("msg", "The process leaves.", "grace", grace)
+	_ = level.Info(g.logger).Log("msg", "The process leaves.", "grace_ms", grace.Milliseconds())
 	time.Sleep(min(leaveTime, grace/3))
 	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin-(clock.Now()-began))
 	defer cancel()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -96,9 +96,14 @@
 	g.metrics.write(w)
 }
 
-// write writes a line name value for each metric.
+// write writes a line name value for each metric, those of the process's log included.
 func (c *counters) write(w io.Writer) {
-	c.registry.Each(func(name string, m any) {
+	writeAll(w, c.registry)
+	writeAll(w, metrics.DefaultRegistry)
+}
+
+func writeAll(w io.Writer, registry metrics.Registry) {
+	registry.Each(func(name string, m any) {
 		switch m := m.(type) {
 		case metrics.Counter:
 			_, _ = fmt.Fprintf(w, "%s %d\n", name, m.Count())
--- a/internal/gateway/output.go
+++ b/internal/gateway/output.go
@@ -18,6 +18,8 @@
 	begun bool
 	// firstAt is when it was; zero before.
 	firstAt time.Duration
+	// eventAt is when the last event was passed on, and gap the longest time between two.
+	eventAt, gap time.Duration
 	// lastID is the ID of the last event passed on.
 	lastID string
 	// fallback is the failure that a backend server answered, for when no other does better.
@@ -29,7 +31,7 @@
 	status int
 	header http.Header
 	body   []byte
-	server string
+	server placement
 }
 
 // begin writes the head of an answer.
@@ -71,5 +73,10 @@
 	if e.ID != "" {
 		o.lastID = e.ID
 	}
+	now := clock.Now()
+	if o.eventAt > 0 {
+		o.gap = max(o.gap, now-o.eventAt)
+	}
+	o.eventAt = now
 	return o.rc.Flush()
 }
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -91,14 +91,14 @@
 func (c *control) takeState(f fetched) {
 	c.asking = false
 	if f.err != nil {
-		_ = level.Warn(c.logger).Log("msg", "Another entry did not tell what it holds.", "entry", f.from, "err", f.err,
+		_ = level.Warn(c.logger).Log("msg", "Another entry did not tell what it holds.", "address", f.from, "err", f.err,
 			"result", result.Label(api.ResultCode_LOG_UNAVAILABLE))
 		return
 	}
 	now := clock.Now()
 	c.takeTopic(platform.TopicOperators, c.operators, f.state.GetOperators(), now)
 	c.takeTopic(platform.TopicServers, c.servers, f.state.GetServers(), now)
-	_ = level.Info(c.logger).Log("msg", "Took what another entry holds.", "entry", f.from,
+	_ = level.Info(c.logger).Log("msg", "Took what another entry holds.", "address", f.from,
 		"operators_next", c.operators.Next(), "servers_next", c.servers.Next())
 }
 
--- a/internal/gateway/shut.go
+++ b/internal/gateway/shut.go
@@ -10,6 +10,7 @@
 	"github.com/apricothub/apricothub/coord/registry"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/ranks"
+	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/platform"
 )
 
@@ -51,6 +52,8 @@
 // watch asks an engine that refused a request until its group is open.
 func (g *Gateway) watch(s registry.Server) {
 	began := clock.Now()
+	_ = level.Warn(g.logger).Log("msg", "A service refuses work and gets none until it is open.", "service", s.Service, "server", s.ID,
+		"result", result.Label(api.ResultCode_SATURATED))
 	open := false
 	for !open && clock.Now()-began < shutMost {
 		open = g.open(s)
@@ -67,7 +70,7 @@
 	}
 	g.fleet.opened(s.Service)
 	_ = level.Info(g.logger).Log("msg", "A service that refused work was watched.", "service", s.Service, "server", s.ID,
-		"open", open, "took", clock.Now()-began)
+		"open", open, "took_ms", (clock.Now() - began).Milliseconds())
 }
 
 // open says whether an engine's group is open, by the process beside it, or by the engine
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rcrowley/go-metrics"
 )
 
 const (
@@ -26,6 +28,8 @@
 	w       io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
+	// unread counts the lines left out since the process started.
+	unread  metrics.Counter
 	closing chan struct{}
 	once    sync.Once
 	done    chan struct{}
@@ -35,7 +39,10 @@
 func NewAsync(w io.Writer) *Async { return newAsync(w, asyncLines) }
 
 func newAsync(w io.Writer, lines int) *Async {
-	a := &Async{w: w, lines: make(chan []byte, lines), closing: make(chan struct{}), done: make(chan struct{})}
+	a := &Async{
+		w: w, lines: make(chan []byte, lines), closing: make(chan struct{}), done: make(chan struct{}),
+		unread: metrics.GetOrRegisterCounter("log.dropped.unread", metrics.DefaultRegistry),
+	}
 	go a.run()
 	return a
 }
@@ -47,10 +54,14 @@
 	case a.lines <- kept:
 	default:
 		a.dropped.Add(1)
+		a.unread.Inc(1)
 	}
 	return len(line), nil
 }
 
+// Busy says that more than half of the room for lines is taken: the reader falls back.
+func (a *Async) Busy() bool { return len(a.lines) > cap(a.lines)/2 }
+
 // Dropped is the number of lines left out of which no line has told yet.
 func (a *Async) Dropped() int64 { return a.dropped.Load() }
 
--- /dev/null
+++ b/internal/logging/keys_test.go
@@ -0,0 +1,130 @@
+package logging
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// A collector's searches and alarms go by keys. Each one that stands in the code is in the
+// vocabulary, and each word of the vocabulary is still written by something.
+func TestKeysAreTheVocabulary(t *testing.T) {
+	known := make(map[string]bool)
+	for _, k := range Keys {
+		if _, twice := known[k.Name]; twice || k.Doc == "" {
+			t.Errorf("%s stands twice, or without its meaning", k.Name)
+		}
+		known[k.Name] = false
+	}
+	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && (entry.Name() == "standin" || entry.Name() == "measure") {
+			return fs.SkipDir
+		}
+		if entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		files := token.NewFileSet()
+		file, err := parser.ParseFile(files, path, nil, 0)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			for _, key := range keysIn(n) {
+				if _, ok := known[key]; !ok {
+					t.Errorf("%s: the key %s is not in the vocabulary", files.Position(n.Pos()), key)
+				}
+				known[key] = true
+			}
+			return true
+		})
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for key, used := range known {
+		if !used {
+			t.Errorf("%s is in the vocabulary, and nothing writes it", key)
+		}
+	}
+}
+
+// keysIn returns the keys that a call to Log or With, or a list of fields, names.
+func keysIn(n ast.Node) []string {
+	var pairs []ast.Expr
+	switch n := n.(type) {
+	case *ast.CallExpr:
+		switch name := calledName(n); {
+		case name == "Log":
+			pairs = n.Args
+		case name == "With" && len(n.Args) > 1:
+			pairs = n.Args[1:]
+		case name == "append" && len(n.Args) > 1:
+			pairs = n.Args[1:]
+		}
+	case *ast.CompositeLit:
+		if list, ok := n.Type.(*ast.ArrayType); ok && isAny(list.Elt) {
+			pairs = n.Elts
+		}
+	}
+	var keys []string
+	for i := 0; i+1 < len(pairs); i += 2 {
+		if key := keyOf(pairs[i]); key != "" {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func calledName(call *ast.CallExpr) string {
+	switch f := call.Fun.(type) {
+	case *ast.SelectorExpr:
+		return f.Sel.Name
+	case *ast.Ident:
+		return f.Name
+	}
+	return ""
+}
+
+func isAny(e ast.Expr) bool {
+	name, ok := e.(*ast.Ident)
+	return ok && name.Name == "any"
+}
+
+// constants are the keys that the code has names for.
+var constants = map[string]string{
+	"RequestKey": RequestKey, "partKey": partKey, "selfKey": selfKey, "resultKey": resultKey, "messageKey": messageKey,
+}
+
+// keyOf returns the key that an expression stands for; empty for what is none.
+func keyOf(e ast.Expr) string {
+	switch e := e.(type) {
+	case *ast.BasicLit:
+		text, err := strconv.Unquote(e.Value)
+		if err == nil && e.Kind == token.STRING {
+			return text
+		}
+	case *ast.Ident:
+		return constants[e.Name]
+	case *ast.SelectorExpr:
+		return constants[e.Sel.Name]
+	case *ast.CallExpr:
+		// The kinds of lines name themselves.
+		if of, ok := e.Fun.(*ast.SelectorExpr); ok && of.Sel.Name == "String" {
+			for k := range kinds {
+				if name, ok := of.X.(*ast.Ident); ok && strings.EqualFold(name.Name, k.String()) {
+					return k.String()
+				}
+			}
+		}
+	}
+	return ""
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -1,19 +1,16 @@
 // Package logging makes the logger of a process: logfmt lines with a fixed prefix
-// for each part, a level that may change while it runs, and a bound on the rate.
+// for each part, a level that may change while it runs, a bound on the rate, and the
+// vocabulary of its keys.
 package logging
 
 import (
 	"fmt"
 	"io"
-	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-
-	"github.com/apricothub/apricothub/internal/ratelimit"
 )
 
 // Level is the least level that is logged; it may be set at any time.
@@ -94,63 +91,3 @@
 	}
 	return ranks["info"]
 }
-
-// maxSentences bounds the sentences whose rate is followed; they are literals of the
-// code, so that there are far fewer.
-const maxSentences = 512
-
-// Limited bounds the lines a second of each sentence, its msg, with bursts of the same
-// number. A fault that strikes every request would otherwise fill the collector with
-// one sentence; the bound keeps the first lines and leaves room for other sentences,
-// and the count of the dropped ones says how often it struck.
-func Limited(logger log.Logger, perSecond int) log.Logger {
-	return newLimited(logger, perSecond, time.Now)
-}
-
-func newLimited(logger log.Logger, perSecond int, now func() time.Time) *limited {
-	return &limited{
-		next: logger, perSecond: perSecond, now: now,
-		rates: ratelimit.New(maxSentences), dropped: map[string]int64{},
-	}
-}
-
-type limited struct {
-	next      log.Logger
-	perSecond int
-	now       func() time.Time
-	rates     *ratelimit.Keyed
-
-	mu sync.Mutex
-	// dropped counts the lines left out since the last one of a sentence.
-	dropped map[string]int64
-}
-
-func (l *limited) Log(keyvals ...any) error {
-	sentence := sentenceOf(keyvals)
-	if ok, _ := l.rates.Allow(l.now(), sentence, float64(l.perSecond), l.perSecond); !ok {
-		l.mu.Lock()
-		if len(l.dropped) < maxSentences || l.dropped[sentence] > 0 {
-			l.dropped[sentence]++
-		}
-		l.mu.Unlock()
-		return nil
-	}
-	l.mu.Lock()
-	dropped := l.dropped[sentence]
-	delete(l.dropped, sentence)
-	l.mu.Unlock()
-	if dropped > 0 {
-		keyvals = append(keyvals[:len(keyvals):len(keyvals)], "dropped_before", dropped)
-	}
-	return l.next.Log(keyvals...)
-}
-
-// sentenceOf finds the msg of a line.
-func sentenceOf(keyvals []any) string {
-	for i := 0; i+1 < len(keyvals); i += 2 {
-		if keyvals[i] == "msg" {
-			return fmt.Sprint(keyvals[i+1])
-		}
-	}
-	return ""
-}
--- /dev/null
+++ b/internal/logging/process.go
@@ -0,0 +1,38 @@
+package logging
+
+import (
+	"io"
+	"time"
+
+	"github.com/go-kit/log"
+)
+
+// selfKey is the key of the VM whose process writes a line.
+const selfKey = "self"
+
+// closePatience is how long a process that ends waits for its last lines to be read: a reader
+// that lives takes them in milliseconds.
+const closePatience = 200 * time.Millisecond
+
+// Process is the log of a process, which never keeps it waiting.
+type Process struct {
+	log.Logger
+	*Level
+	lines *Async
+}
+
+// Open opens the log of the process part on vm. Lines go to w, at most linesPerSecond each
+// second; level is the least level that is logged.
+func Open(w io.Writer, part, vm, level string, linesPerSecond int) (*Process, error) {
+	lines := NewAsync(w)
+	logger, least, err := New(lines, level)
+	if err != nil {
+		lines.Close(0)
+		return nil, err
+	}
+	bounded := Bound(logger, linesPerSecond, lines.Busy)
+	return &Process{Logger: Part(log.With(bounded, selfKey, vm), part), Level: least, lines: lines}, nil
+}
+
+// Close writes the last lines, if somebody reads them.
+func (p *Process) Close() { p.lines.Close(closePatience) }
--- a/internal/rankagent/rankagent.go
+++ b/internal/rankagent/rankagent.go
@@ -53,7 +53,7 @@
 		Handler: mux, ReadTimeout: readTime, IdleTimeout: idleTime,
 		ErrorLog: logging.Library(logger, "The library for HTTP reports an error.", result.Label(api.ResultCode_INTERNAL)),
 	}
-	_ = level.Info(logger).Log("msg", "The process starts.", "vm", s.VM, "failure_domain", s.FailureDomain, "engine", s.Engine)
+	_ = level.Info(logger).Log("msg", "The process starts.", "failure_domain", s.FailureDomain, "engine", s.Engine)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
@@ -64,7 +64,7 @@
 	stopCtx, cancel := context.WithTimeout(context.Background(), stopTime)
 	defer cancel()
 	_ = server.Shutdown(stopCtx)
-	_ = level.Info(logger).Log("msg", "The process stops.", "uptime", clock.Now())
+	_ = level.Info(logger).Log("msg", "The process stops.", "uptime_ms", clock.Now().Milliseconds())
 	return nil
 }
 
