Give the tests' stand-in of the users' platform a package of its own

Cause: the store and the backend servers that the gateway's tests use stood in that package's test files; tests on separate processes could not use them. The tests say what they said.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,19 +6,21 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"github.com/apricothub/apricothub/test/fakeplatform"
 )
 
 // world starts a store with the usual configuration, backend servers that answer as given,
 // and one entry.
-func world(t *testing.T, answers ...func(s seen, conn net.Conn) bool) (*fakeStore, []*fakeServer, *entry) {
+func world(t *testing.T, answers ...fakeplatform.Answer) (*fakeplatform.Store, []*fakeplatform.Server, *entry) {
 	t.Helper()
-	store := newFakeStore(t)
-	store.configure(1, testRoutes(), "key-1", "key-2")
-	var servers []*fakeServer
+	store := fakeplatform.NewStore(t)
+	store.Configure(1, fakeplatform.Routes(), "key-1", "key-2")
+	var servers []*fakeplatform.Server
 	for i, answer := range answers {
-		servers = append(servers, store.serve(t, "i-"+string(rune('a'+i)), answer))
+		servers = append(servers, store.Serve(t, "i-"+string(rune('a'+i)), answer))
 	}
-	e := start(t, store.settings())
+	e := start(t, settingsFor(store))
 	e.until("all servers are known", func() bool {
 		return len(e.fleet.dump(0)) == len(servers)
 	})
@@ -29,7 +31,7 @@
 // stays here, and the team's name is that of the key's holder, whatever the caller wrote.
 func TestARequestGoesThroughUnchanged(t *testing.T) {
 	t.Parallel()
-	_, servers, e := world(t, echo)
+	_, servers, e := world(t, fakeplatform.Echo)
 	r := e.ask("POST", "/push/a%2Fb//c?q=1&q=%20", "r1", func(req *http.Request) {
 		req.URL.Opaque = "/push/a%2Fb//c"
 		req.Header.Set("Tenant", "forged")
@@ -38,11 +40,11 @@
 	if r.status != 200 || r.body != "answer to r1" || r.header.Get("Upstream-Signature") != "sig" {
 		t.Fatalf("the caller got %+v", r)
 	}
-	got := servers[0].got()[0]
-	if got.request.RequestURI != "/push/a%2Fb//c?q=1&q=%20" || got.body != "body of r1" || got.request.Host != "h.example" {
-		t.Errorf("the server got %s %q for %s", got.request.RequestURI, got.body, got.request.Host)
+	got := servers[0].Got()[0]
+	if got.Request.RequestURI != "/push/a%2Fb//c?q=1&q=%20" || got.Body != "body of r1" || got.Request.Host != "h.example" {
+		t.Errorf("the server got %s %q for %s", got.Request.RequestURI, got.Body, got.Request.Host)
 	}
-	h := got.request.Header
+	h := got.Request.Header
 	if h.Get("Api-Key") != "" || h.Get("Tenant") != "north" || h.Get("Target-Instance") != "i-a" || h.Get("X-Other") != "kept" {
 		t.Errorf("the server got the header %v", h)
 	}
@@ -53,9 +55,9 @@
 // or a kept one, with another server at hand. The caller is told that nobody knows.
 func TestAPushIsNeverSentTwice(t *testing.T) {
 	t.Parallel()
-	drop := func(s seen, conn net.Conn) bool {
-		if strings.HasPrefix(s.request.RequestURI, "/look/") {
-			return echo(s, conn)
+	drop := func(s fakeplatform.Seen, conn net.Conn) bool {
+		if strings.HasPrefix(s.Request.RequestURI, "/look/") {
+			return fakeplatform.Echo(s, conn)
 		}
 		return false
 	}
@@ -70,7 +72,7 @@
 			}
 		}
 		for _, body := range []string{"x", ""} {
-			before := len(servers[0].got()) + len(servers[1].got())
+			before := len(servers[0].Got()) + len(servers[1].Got())
 			r := e.ask("POST", "/push/1", "push", func(req *http.Request) {
 				req.Body = io.NopCloser(strings.NewReader(body))
 				req.ContentLength = int64(len(body))
@@ -79,7 +81,7 @@
 			if r.status != http.StatusBadGateway {
 				t.Errorf("kept %v, body %q: the caller got %+v", kept, body, r)
 			}
-			if n := len(servers[0].got()) + len(servers[1].got()) - before; n != 1 {
+			if n := len(servers[0].Got()) + len(servers[1].Got()) - before; n != 1 {
 				t.Errorf("kept %v, body %q: sent %d times", kept, body, n)
 			}
 		}
@@ -91,7 +93,7 @@
 // goes over a connection of its own.
 func TestAPushGoesOverANewConnection(t *testing.T) {
 	t.Parallel()
-	_, servers, e := world(t, echo)
+	_, servers, e := world(t, fakeplatform.Echo)
 	for i := range 6 {
 		id := "n" + string(rune('a'+i))
 		if r := e.ask("GET", "/look/1", id); r.status != 200 {
@@ -101,8 +103,8 @@
 			t.Fatalf("push: %+v", r)
 		}
 	}
-	for _, got := range servers[0].got() {
-		if got.request.Method == "POST" && !got.first {
+	for _, got := range servers[0].Got() {
+		if got.Request.Method == "POST" && !got.First {
 			t.Error("a push went over a kept connection")
 		}
 	}
@@ -112,7 +114,7 @@
 // to come back.
 func TestARefusedPushHasNotRun(t *testing.T) {
 	t.Parallel()
-	_, _, e := world(t, func(s seen, conn net.Conn) bool {
+	_, _, e := world(t, func(s fakeplatform.Seen, conn net.Conn) bool {
 		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 		return true
 	})
@@ -125,7 +127,7 @@
 // One server fails all look-ups. A look-up may run again, and callers see no failure.
 func TestALookUpGoesToAnotherServer(t *testing.T) {
 	t.Parallel()
-	_, servers, e := world(t, echo, func(s seen, conn net.Conn) bool {
+	_, servers, e := world(t, fakeplatform.Echo, func(s fakeplatform.Seen, conn net.Conn) bool {
 		_, _ = io.WriteString(conn, "HTTP/1.1 500 Oops\r\nUpstream-Signature: bad\r\nContent-Length: 0\r\n\r\n")
 		return true
 	})
@@ -134,7 +136,7 @@
 			t.Errorf("look-up %d: %+v", i, r)
 		}
 	}
-	if len(servers[1].got()) == 0 {
+	if len(servers[1].Got()) == 0 {
 		t.Error("the failing server was never asked: the test shows nothing")
 	}
 }
@@ -142,7 +144,7 @@
 // When all servers fail, the caller gets the failure that a server gave, with its signature.
 func TestTheServersFailureIsPassedOn(t *testing.T) {
 	t.Parallel()
-	_, _, e := world(t, func(s seen, conn net.Conn) bool {
+	_, _, e := world(t, func(s fakeplatform.Seen, conn net.Conn) bool {
 		_, _ = io.WriteString(conn, "HTTP/1.1 500 Oops\r\nUpstream-Signature: bad\r\nContent-Length: 4\r\n\r\noops")
 		return true
 	})
@@ -158,11 +160,11 @@
 func TestASecondAnswerReachesNobody(t *testing.T) {
 	t.Parallel()
 	last := ""
-	_, servers, e := world(t, func(s seen, conn net.Conn) bool {
-		id := s.request.Header.Get("Attempt-Id")
-		text := whole(id, "answer to "+id)
+	_, servers, e := world(t, func(s fakeplatform.Seen, conn net.Conn) bool {
+		id := s.Request.Header.Get("Attempt-Id")
+		text := fakeplatform.Whole(id, "answer to "+id)
 		if last != "" {
-			text = whole(last, "answer to "+last) + text
+			text = fakeplatform.Whole(last, "answer to "+last) + text
 		}
 		last = id
 		_, _ = io.WriteString(conn, text)
@@ -175,8 +177,8 @@
 		}
 	}
 	reused := false
-	for _, s := range servers[0].got() {
-		reused = reused || !s.first
+	for _, s := range servers[0].Got() {
+		reused = reused || !s.First
 	}
 	if !reused {
 		t.Error("no connection was used again: the test shows nothing")
@@ -189,7 +191,7 @@
 	t.Parallel()
 	release := make(chan struct{})
 	defer close(release)
-	_, _, e := world(t, func(s seen, conn net.Conn) bool {
+	_, _, e := world(t, func(s fakeplatform.Seen, conn net.Conn) bool {
 		<-release
 		return false
 	})
@@ -202,12 +204,12 @@
 // new version, and an entry without any says that it is starting.
 func TestAConfigurationComesIntoForce(t *testing.T) {
 	t.Parallel()
-	store, _, e := world(t, echo)
+	store, _, e := world(t, fakeplatform.Echo)
 	if r := e.ask("GET", "/look/1", "a", func(r *http.Request) { r.Header.Set("Api-Key", "key-2") }); r.status != 200 {
 		t.Fatalf("before: %+v", r)
 	}
-	routes := append(testRoutes()[1:], route{"new", "h.example", "/new/", "idempotent", 1000, 1, false, "app"})
-	store.configure(7, routes, "key-1")
+	routes := append(fakeplatform.Routes()[1:], fakeplatform.Route{Name: "new", Host: "h.example", Prefix: "/new/", Type: "idempotent", Timeout: 1000, Attempts: 1, Service: "app"})
+	store.Configure(7, routes, "key-1")
 	e.until("version 7 is in force", func() bool { return e.view.Load().table.Version == 7 })
 	for _, c := range []struct {
 		path, key string
@@ -223,21 +225,21 @@
 // callers are told when to come back.
 func TestLeavingServersGetNothing(t *testing.T) {
 	t.Parallel()
-	store, servers, e := world(t, echo, echo)
-	store.register(servers[0], "draining")
+	store, servers, e := world(t, fakeplatform.Echo, fakeplatform.Echo)
+	store.Register(servers[0], "draining")
 	e.until("the server is known to drain", func() bool { return e.fleet.dump(0)[0].Draining })
-	before := len(servers[0].got())
+	before := len(servers[0].Got())
 	for range 10 {
 		if r := e.ask("GET", "/look/1", "x"); r.status != 200 {
 			t.Errorf("look-up: %+v", r)
 		}
 	}
-	if n := len(servers[0].got()) - before; n != 0 {
+	if n := len(servers[0].Got()) - before; n != 0 {
 		t.Errorf("the draining server got %d requests", n)
 	}
-	store.put("keyed.op", "evacuate/a", "{}")
+	store.Put("keyed.op", "evacuate/a", "{}")
 	e.until("nothing may get work", func() bool { return e.ask("GET", "/look/1", "y").status == 503 })
-	store.put("keyed.op", "evacuate/a", "")
+	store.Put("keyed.op", "evacuate/a", "")
 	e.until("the domain is back", func() bool { return e.ask("GET", "/look/1", "z").status == 200 })
 }
 
@@ -246,14 +248,14 @@
 func TestAPlannedStopCutsNothing(t *testing.T) {
 	t.Parallel()
 	go1 := make(chan struct{})
-	_, _, e := world(t, func(s seen, conn net.Conn) bool {
-		if strings.HasPrefix(s.request.RequestURI, "/draft/") {
-			_, _ = io.WriteString(conn, streamHead(s)+chunk(event(1)))
+	_, _, e := world(t, func(s fakeplatform.Seen, conn net.Conn) bool {
+		if strings.HasPrefix(s.Request.RequestURI, "/draft/") {
+			_, _ = io.WriteString(conn, fakeplatform.StreamHead(s)+fakeplatform.Chunk(fakeplatform.Event(1)))
 			<-go1
-			_, _ = io.WriteString(conn, chunk(event(2))+"0\r\n\r\n")
+			_, _ = io.WriteString(conn, fakeplatform.Chunk(fakeplatform.Event(2))+"0\r\n\r\n")
 			return true
 		}
-		return echo(s, conn)
+		return fakeplatform.Echo(s, conn)
 	})
 	stream := make(chan reply, 1)
 	go func() { stream <- e.ask("POST", "/draft/1", "long") }()
@@ -271,7 +273,7 @@
 		t.Errorf("a caller that still came got %+v", r)
 	}
 	close(go1)
-	if r := <-stream; r.body != event(1)+event(2) || r.err != nil {
+	if r := <-stream; r.body != fakeplatform.Event(1)+fakeplatform.Event(2) || r.err != nil {
 		t.Errorf("the stream under way ended as %+v", r)
 	}
 	if err := <-e.done; err != nil {
@@ -284,21 +286,21 @@
 // not be let in by the first one; it hears of it from the second.
 func TestAnEntryThatTheStoreTurnsAway(t *testing.T) {
 	t.Parallel()
-	store := newFakeStore(t)
-	store.configure(1, testRoutes(), "key-1", "key-2")
-	store.serve(t, "i-a", echo)
-	settings := store.settings()
-	door := store.door(t)
-	settings.Store.Address = door.address
+	store := fakeplatform.NewStore(t)
+	store.Configure(1, fakeplatform.Routes(), "key-1", "key-2")
+	store.Serve(t, "i-a", fakeplatform.Echo)
+	settings := settingsFor(store)
+	door := store.Door(t)
+	settings.Store.Address = door.Address
 	one := start(t, settings)
-	two := start(t, store.settings(settings.IP))
+	two := start(t, settingsFor(store, settings.IP))
 	for _, e := range []*entry{one, two} {
 		e.until("both know of each other", func() bool { return len(e.view.Load().addresses) == 2 })
 	}
-	door.shut.Store(true)
+	door.Shut.Store(true)
 	// A read that waits already would still bring what comes.
-	one.until("no read is under way", func() bool { return door.under.Load() == 0 })
-	store.configure(2, testRoutes(), "key-1")
+	one.until("no read is under way", func() bool { return door.Under.Load() == 0 })
+	store.Configure(2, fakeplatform.Routes(), "key-1")
 	one.until("the first has the new version", func() bool { return one.view.Load().table.Version == 2 })
 	if r := one.ask("GET", "/look/1", "k", func(r *http.Request) { r.Header.Set("Api-Key", "key-2") }); r.status != 401 {
 		t.Errorf("the key that was taken away: %+v", r)
@@ -310,32 +312,32 @@
 // other reads for itself.
 func TestOneEntryReadsForItsDomain(t *testing.T) {
 	t.Parallel()
-	store := newFakeStore(t)
-	store.configure(1, testRoutes(), "key-1", "key-2")
-	store.serve(t, "i-a", echo)
-	reading, hearing := store.settings(), store.settings()
+	store := fakeplatform.NewStore(t)
+	store.Configure(1, fakeplatform.Routes(), "key-1", "key-2")
+	store.Serve(t, "i-a", fakeplatform.Echo)
+	reading, hearing := settingsFor(store), settingsFor(store)
 	hearing.Seeds = []string{reading.IP}
 	if hearing.IP < reading.IP {
 		reading, hearing = hearing, reading
 		hearing.Seeds, reading.Seeds = []string{reading.IP}, nil
 	}
-	door := store.door(t)
-	hearing.Store.Address = door.address
+	door := store.Door(t)
+	hearing.Store.Address = door.Address
 	one, two := start(t, reading), start(t, hearing)
 	two.until("the second one leaves reading to the first", func() bool { return !two.reads.Load() })
-	two.until("no read is under way", func() bool { return door.under.Load() == 0 })
-	before := door.calls.Load()
-	store.configure(2, testRoutes(), "key-1")
+	two.until("no read is under way", func() bool { return door.Under.Load() == 0 })
+	before := door.Calls.Load()
+	store.Configure(2, fakeplatform.Routes(), "key-1")
 	two.until("it has the new version", func() bool { return two.view.Load().table.Version == 2 })
 	if r := two.ask("GET", "/look/1", "k", func(r *http.Request) { r.Header.Set("Api-Key", "key-2") }); r.status != 401 {
 		t.Errorf("the key that was taken away: %+v", r)
 	}
 	// What an idle entry reads in the longest time that a test waits.
-	if n := door.calls.Load() - before; n > 5 {
+	if n := door.Calls.Load() - before; n > 5 {
 		t.Errorf("it called the store %d times meanwhile", n)
 	}
 	one.cancel()
-	two.until("it reads for itself", func() bool { return two.reads.Load() && door.calls.Load() > before+3 })
-	store.configure(3, testRoutes(), "key-1")
+	two.until("it reads for itself", func() bool { return two.reads.Load() && door.Calls.Load() > before+3 })
+	store.Configure(3, fakeplatform.Routes(), "key-1")
 	two.until("it has the version after that", func() bool { return two.view.Load().table.Version == 3 })
 }
--- a/internal/gateway/kept_test.go
+++ b/internal/gateway/kept_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"github.com/apricothub/apricothub/test/fakeplatform"
 )
 
 // A full server refuses a look-up with a body longer than anyone reads, and keeps the
@@ -16,12 +18,12 @@
 func TestTheRestOfALongRefusalIsNobodysAnswer(t *testing.T) {
 	t.Parallel()
 	leftover := "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 7\r\n\r\ncrossed"
-	_, _, e := world(t, func(s seen, conn net.Conn) bool {
-		if s.request.Header.Get("Attempt-Id") != "full" {
-			if !s.first {
+	_, _, e := world(t, func(s fakeplatform.Seen, conn net.Conn) bool {
+		if s.Request.Header.Get("Attempt-Id") != "full" {
+			if !s.First {
 				_, _ = io.WriteString(conn, leftover)
 			}
-			return echo(s, conn)
+			return fakeplatform.Echo(s, conn)
 		}
 		_, _ = io.WriteString(conn, fmt.Sprintf(
 			"HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: full\r\nNot-Executed: 1\r\nKeep-Alive: timeout=30\r\nContent-Length: %d\r\n\r\n%s",
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/apricothub/apricothub/test/fakeplatform"
 )
 
 // A server breaks off in the middle of an event. Another one goes on behind the last whole
@@ -16,23 +18,23 @@
 func TestAStreamGoesOnAtAnotherServer(t *testing.T) {
 	t.Parallel()
 	broken := make(chan string, 2)
-	answer := func(s seen, conn net.Conn) bool {
-		from := s.request.Header.Get("Last-Event-Id")
-		_, _ = io.WriteString(conn, streamHead(s))
+	answer := func(s fakeplatform.Seen, conn net.Conn) bool {
+		from := s.Request.Header.Get("Last-Event-Id")
+		_, _ = io.WriteString(conn, fakeplatform.StreamHead(s))
 		if from == "" {
-			broken <- s.request.Header.Get("Target-Instance")
-			_, _ = io.WriteString(conn, chunk(event(1))+chunk(event(2))+chunk("id: 3\nda"))
+			broken <- s.Request.Header.Get("Target-Instance")
+			_, _ = io.WriteString(conn, fakeplatform.Chunk(fakeplatform.Event(1))+fakeplatform.Chunk(fakeplatform.Event(2))+fakeplatform.Chunk("id: 3\nda"))
 			return false
 		}
 		if from != "2" {
 			t.Errorf("resumed behind %q", from)
 		}
-		_, _ = io.WriteString(conn, chunk(event(3))+chunk(event(4))+"0\r\n\r\n")
+		_, _ = io.WriteString(conn, fakeplatform.Chunk(fakeplatform.Event(3))+fakeplatform.Chunk(fakeplatform.Event(4))+"0\r\n\r\n")
 		return true
 	}
 	_, _, e := world(t, answer, answer)
 	r := e.ask("POST", "/draft/1", "d1")
-	if want := event(1) + event(2) + event(3) + event(4); r.body != want || r.err != nil {
+	if want := fakeplatform.Event(1) + fakeplatform.Event(2) + fakeplatform.Event(3) + fakeplatform.Event(4); r.body != want || r.err != nil {
 		t.Errorf("the caller got %q, %v", r.body, r.err)
 	}
 	if len(broken) != 1 {
@@ -44,11 +46,11 @@
 // early must not look whole.
 func TestABrokenStreamLooksBroken(t *testing.T) {
 	t.Parallel()
-	_, _, e := world(t, func(s seen, conn net.Conn) bool {
-		_, _ = io.WriteString(conn, streamHead(s)+chunk(event(1)))
+	_, _, e := world(t, func(s fakeplatform.Seen, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, fakeplatform.StreamHead(s)+fakeplatform.Chunk(fakeplatform.Event(1)))
 		return false
 	})
-	if r := e.ask("POST", "/chat/1", "c1"); r.err == nil || r.body != event(1) {
+	if r := e.ask("POST", "/chat/1", "c1"); r.err == nil || r.body != fakeplatform.Event(1) {
 		t.Errorf("the caller got %q, %v", r.body, r.err)
 	}
 }
@@ -57,8 +59,8 @@
 // right, and what comes next would make it worse.
 func TestEventsOutOfOrderArePassedOnToNobody(t *testing.T) {
 	t.Parallel()
-	_, _, e := world(t, func(s seen, conn net.Conn) bool {
-		_, _ = io.WriteString(conn, streamHead(s)+chunk(event(1)+event(2)+event(2))+"0\r\n\r\n")
+	_, _, e := world(t, func(s fakeplatform.Seen, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, fakeplatform.StreamHead(s)+fakeplatform.Chunk(fakeplatform.Event(1)+fakeplatform.Event(2)+fakeplatform.Event(2))+"0\r\n\r\n")
 		return true
 	})
 	if r := e.ask("POST", "/chat/1", "o1"); r.err == nil || strings.Count(r.body, "id: 2") > 1 {
@@ -70,8 +72,8 @@
 func TestACallerThatLeavesEndsTheWork(t *testing.T) {
 	t.Parallel()
 	ended := make(chan struct{})
-	_, _, e := world(t, func(s seen, conn net.Conn) bool {
-		_, _ = io.WriteString(conn, streamHead(s)+chunk(event(1)))
+	_, _, e := world(t, func(s fakeplatform.Seen, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, fakeplatform.StreamHead(s)+fakeplatform.Chunk(fakeplatform.Event(1)))
 		_, _ = conn.Read(make([]byte, 1))
 		close(ended)
 		return false
--- /dev/null
+++ b/test/fakeplatform/server.go
@@ -0,0 +1,142 @@
+package fakeplatform
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/apricothub/apricothub/platform"
+)
+
+// Seen is one request as a backend server got it.
+type Seen struct {
+	Request *http.Request
+	Body    string
+	// First says that it is the first one on its connection.
+	First bool
+}
+
+// Server is a backend server on a socket of its own: answer writes what it likes, and
+// returns whether the connection stays.
+type Server struct {
+	place    Place
+	listener net.Listener
+	answer   Answer
+	mu       sync.Mutex
+	requests []Seen
+	conns    []net.Conn
+}
+
+// Answer answers one request, and returns whether the connection stays.
+type Answer func(s Seen, conn net.Conn) bool
+
+// Place says what a backend server registers itself as.
+type Place struct {
+	ID, FailureDomain string
+	// Concurrency is the number of requests that it works on at once.
+	Concurrency int
+}
+
+// Serve starts a backend server of service app in failure domain a, and registers it.
+func (s *Store) Serve(t *testing.T, id string, answer Answer) *Server {
+	return s.ServeAt(t, Place{ID: id, FailureDomain: "a", Concurrency: 4}, answer)
+}
+
+// ServeAt starts a backend server of service app, and registers it.
+func (s *Store) ServeAt(t *testing.T, place Place, answer Answer) *Server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &Server{place: place, listener: listener, answer: answer}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go f.handle(conn)
+		}
+	}()
+	s.Register(f, "ready")
+	return f
+}
+
+// Register registers a backend server anew, in a state such as ready or draining.
+func (s *Store) Register(f *Server, state string) {
+	s.Put(platform.TopicServers, f.place.ID, fmt.Sprintf(
+		`{"service":"app","address":"%s","zone":"%s","concurrency":%d,"state":"%s","cold-remaining-ms":0,"sequence":1,"born":1}`,
+		f.listener.Addr(), f.place.FailureDomain, f.place.Concurrency, state))
+}
+
+func (f *Server) handle(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	f.mu.Lock()
+	f.conns = append(f.conns, conn)
+	f.mu.Unlock()
+	br := bufio.NewReader(conn)
+	for first := true; ; first = false {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		s := Seen{Request: req, Body: string(body), First: first}
+		f.mu.Lock()
+		f.requests = append(f.requests, s)
+		f.mu.Unlock()
+		if !f.answer(s, conn) {
+			return
+		}
+	}
+}
+
+// Kill ends the server as a crash does: it takes no connection more, and those that stand
+// break off. Its registration stays.
+func (f *Server) Kill() {
+	_ = f.listener.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, conn := range f.conns {
+		_ = conn.Close()
+	}
+}
+
+// Got returns the requests so far.
+func (f *Server) Got() []Seen {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]Seen(nil), f.requests...)
+}
+
+// Whole is an answer with a body and the server's signature.
+func Whole(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nUpstream-Signature: sig\r\nContent-Type: text/plain\r\nKeep-Alive: timeout=30\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// Echo answers with the request's id.
+func Echo(s Seen, conn net.Conn) bool {
+	_, _ = io.WriteString(conn, Whole(s.Request.Header.Get("Attempt-Id"), "answer to "+s.Request.Header.Get("Attempt-Id")))
+	return true
+}
+
+// StreamHead begins a stream in chunks.
+func StreamHead(s Seen) string {
+	return "HTTP/1.1 200 OK\r\nAttempt-Id: " + s.Request.Header.Get("Attempt-Id") +
+		"\r\nUpstream-Signature: sig\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+}
+
+// Chunk is one chunk of a stream.
+func Chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// Event is one event of a stream.
+func Event(id int) string { return fmt.Sprintf("id: %d\ndata: part %d\n\n", id, id) }
--- /dev/null
+++ b/test/fakeplatform/store.go
@@ -0,0 +1,172 @@
+// Package fakeplatform stands in for the users' platform in tests: its store, and backend
+// servers that answer as a test says.
+package fakeplatform
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apricothub/apricothub/platform"
+)
+
+// Store is the platform's store, as far as an entry uses it: a log for each keyed topic.
+type Store struct {
+	*httptest.Server
+	mu     sync.Mutex
+	topics map[string][][2]string
+}
+
+// NewStore starts a store that stops with the test.
+func NewStore(t *testing.T) *Store {
+	s := &Store{topics: make(map[string][][2]string)}
+	s.Server = httptest.NewServer(s.handler())
+	t.Cleanup(s.Close)
+	return s
+}
+
+func (s *Store) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /apricothub/log-read", s.read)
+	mux.HandleFunc("GET /apricothub/log-newest", s.newest)
+	mux.HandleFunc("POST /apricothub/log-append", s.append)
+	return mux
+}
+
+// Door is another address of the store. It counts the calls, and turns callers away while it
+// is shut.
+type Door struct {
+	Address string
+	Shut    atomic.Bool
+	Calls   atomic.Int64
+	// Under are the calls under way.
+	Under atomic.Int64
+}
+
+// Door opens another address of the store.
+func (s *Store) Door(t *testing.T) *Door {
+	d := &Door{}
+	handler := s.handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.Calls.Add(1)
+		d.Under.Add(1)
+		defer d.Under.Add(-1)
+		if d.Shut.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	d.Address = strings.TrimPrefix(server.URL, "http://")
+	return d
+}
+
+// Put appends a record; an empty value takes its key away.
+func (s *Store) Put(topic, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics[topic] = append(s.topics[topic], [2]string{key, value})
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
+	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		records := s.topics[r.URL.Query().Get("topic")]
+		s.mu.Unlock()
+		if len(records) <= from && time.Now().Before(until) {
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		answer := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
+		answer = binary.BigEndian.AppendUint64(answer, 0)
+		for _, rec := range records[min(from, len(records)):] {
+			answer = binary.BigEndian.AppendUint32(answer, uint32(1+len(rec[0])+len(rec[1])))
+			answer = append(answer, byte(len(rec[0])))
+			answer = append(append(answer, rec[0]...), rec[1]...)
+		}
+		_, _ = w.Write(answer)
+		return
+	}
+}
+
+func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records := s.topics[r.URL.Query().Get("topic")]
+	last := map[string]int{}
+	for i, rec := range records {
+		last[rec[0]] = i
+	}
+	items := []map[string]any{}
+	for key, i := range last {
+		if records[i][1] == "" {
+			continue
+		}
+		items = append(items, map[string]any{"key": key, "value": base64.StdEncoding.EncodeToString([]byte(records[i][1])), "offset": i})
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "truncated": false, "end": len(records)})
+}
+
+func (s *Store) append(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	keyLen := int(body[4])
+	topic := r.URL.Query().Get("topic")
+	s.Put(topic, string(body[5:5+keyLen]), string(body[5+keyLen:]))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _ = fmt.Fprintf(w, `{"offset":%d,"end":%d}`, len(s.topics[topic])-1, len(s.topics[topic]))
+}
+
+// Address is where the store listens.
+func (s *Store) Address() string { return strings.TrimPrefix(s.URL, "http://") }
+
+// Route is one route of the configuration that tests write.
+type Route struct {
+	Name     string  `json:"name"`
+	Host     string  `json:"host"`
+	Prefix   string  `json:"path-prefix"`
+	Type     string  `json:"route-type"`
+	Timeout  float64 `json:"timeout-ms"`
+	Attempts int     `json:"attempts"`
+	Resume   bool    `json:"resumable"`
+	Service  string  `json:"service"`
+}
+
+// Routes are one route of each kind, and one with a short timeout.
+func Routes() []Route {
+	return []Route{
+		{"push", "h.example", "/push/", "non_idempotent", 5000, 1, false, "app"},
+		{"look", "h.example", "/look/", "idempotent", 5000, 2, false, "app"},
+		{"draft", "h.example", "/draft/", "stream", 8000, 2, true, "app"},
+		{"chat", "h.example", "/chat/", "stream", 8000, 2, false, "app"},
+		{"quick", "h.example", "/quick/", "idempotent", 300, 1, false, "app"},
+	}
+}
+
+// Configure publishes a configuration with one service, app, and one team, north.
+func (s *Store) Configure(version int, routes []Route, keys ...string) {
+	cfg, err := json.Marshal(map[string]any{
+		"version": version, "routes": routes,
+		"services": []map[string]any{{"name": "app", "health-path": "/healthz"}},
+		"limits":   map[string]any{"max-body-bytes": 1 << 20},
+		"tenants":  []map[string]any{{"name": "north", "api-keys": keys}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	s.Put(platform.TopicOperators, "config", string(cfg))
+}
