Explain a request by its id, and drill it

Cause: from an id to the cause was a grep over several files and a table; which change of belief came just before had to be guessed by time. Whether the page's commands led anywhere was never tried on processes.

Change: apricothub explain ID reads logs from a pipe or files once and shows the request's lines of all processes in order, each field by what it tells of, with the changes of belief of ten seconds before that name its service or server, or none, and what its result means. Three failed requests in OPERATIONS.md, with the output of a run; make explain-drill causes each on two gateway processes and runs the page's commands as they stand.

Before: no test.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 LDFLAGS := -X github.com/apricothub/apricothub/internal/version.built=$(VERSION)
 export PATH := $(CURDIR)/$(TOOLS):$(PATH)
 
-.PHONY: build tools generate fmt check unit race explore spec models failure failure-all hunt demo test measure slopes soak clean
+.PHONY: build tools generate fmt check unit race explore spec models failure failure-all hunt explain-drill demo test measure slopes soak clean
 
 build:
 	@mkdir -p $(BIN)
@@ -63,6 +63,11 @@
 # What takes long, for a night or a landing by hand.
 hunt: race explore models failure-all soak
 
+# Causes the failed requests of docs/OPERATIONS.md and looks for their causes as the page
+# says; with WRITE=1 the output of this run goes into the page.
+explain-drill: build
+	APRICOTHUB_DRILL_WRITE=$(WRITE) go test -count=1 -timeout 5m -run TestExplainDrill -v ./test/
+
 demo: build
 	@$(BIN)/standin demo -bin $(BIN)
 
--- a/cmd/apricothub/main.go
+++ b/cmd/apricothub/main.go
@@ -13,6 +13,7 @@
 	"github.com/apricothub/apricothub/internal/command/cli"
 	"github.com/apricothub/apricothub/internal/command/daemon"
 	"github.com/apricothub/apricothub/internal/command/dump"
+	"github.com/apricothub/apricothub/internal/command/explain"
 	"github.com/apricothub/apricothub/internal/command/mark"
 	"github.com/apricothub/apricothub/internal/command/publish"
 	"github.com/apricothub/apricothub/internal/command/status"
@@ -37,6 +38,7 @@
 		mark.Command(),
 		status.Command(),
 		dump.Command(),
+		explain.Command(os.Stdin),
 		check.Command(),
 		version.Command(),
 	}
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -21,6 +21,7 @@
 	"github.com/apricothub/apricothub/internal/command/check"
 	"github.com/apricothub/apricothub/internal/command/cli"
 	"github.com/apricothub/apricothub/internal/command/dump"
+	"github.com/apricothub/apricothub/internal/command/explain"
 	"github.com/apricothub/apricothub/internal/command/mark"
 	"github.com/apricothub/apricothub/internal/command/publish"
 	"github.com/apricothub/apricothub/internal/command/status"
@@ -348,3 +349,31 @@
 		t.Errorf("exit status %d", code)
 	}
 }
+
+// The engineer on call pipes the logs into the command, or names the files. An id that no
+// line names ends with an error that says why that may be.
+func TestExplain(t *testing.T) {
+	log := `part=gateway level=warn ts=2026-03-01T02:00:00Z self=front-1 msg="A request was refused." request=r1 result="201 SATURATED"` + "\n"
+	file := filepath.Join(t.TempDir(), "front-1.log")
+	if err := os.WriteFile(file, []byte(log), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		in     string
+		args   []string
+		status int
+		want   string
+	}{
+		{log, []string{"r1"}, 0, "A request was refused. [201 SATURATED]"},
+		{"", []string{"r1", "-f", file}, 0, "A request was refused. [201 SATURATED]"},
+		{log, []string{"r2"}, 1, "no line names the request r2, of 1 that were read"},
+		{"", []string{"r1", "-f", file + "x"}, cli.ExitUsage, "no such file"},
+	} {
+		var out, notes bytes.Buffer
+		parser := flaggy.NewParser("apricothub")
+		status := cli.Main(context.Background(), parser, []*cli.Command{explain.Command(strings.NewReader(c.in))}, append([]string{"explain"}, c.args...), &out, &notes)
+		if text := out.String() + notes.String(); status != c.status || !strings.Contains(text, c.want) {
+			t.Errorf("%v: status %d\n%s", c.args, status, text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/command/explain/explain.go
@@ -0,0 +1,70 @@
+// Package explain is the command that shows what logs say of one request.
+package explain
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricothub/apricothub/internal/command/cli"
+	"github.com/apricothub/apricothub/internal/explain"
+)
+
+// arguments of the command.
+type arguments struct {
+	request string
+	files   []string
+}
+
+// Command makes the command, which reads logs from in when no file is named.
+func Command(in io.Reader) *cli.Command {
+	a := &arguments{}
+	sub := cli.New("explain", "Show what logs say of one request, and what its processes believed.",
+		"cat logs/*.log | apricothub explain e4b683f4fe53cf3b\napricothub explain e4b683f4fe53cf3b -f front-1.log -f front-2.log")
+	sub.AddPositionalValue(&a.request, "id", 1, true, "Id of the request, as the caller gave it or got it back.")
+	sub.StringSlice(&a.files, "f", "file", "File with the log of one process or more; default: standard input.")
+	return &cli.Command{Sub: sub, Run: func(_ context.Context, out, _ io.Writer) error { return a.run(in, out) }}
+}
+
+func (a *arguments) run(in io.Reader, out io.Writer) error {
+	if a.request == "" {
+		return cli.Usage("Name the id of a request.")
+	}
+	r := explain.NewReader(a.request)
+	if len(a.files) == 0 {
+		if err := r.Read(in); err != nil {
+			return err
+		}
+	}
+	for _, path := range a.files {
+		if err := readFile(r, path); err != nil {
+			return err
+		}
+	}
+	story := r.Story()
+	if len(story.Lines) == 0 {
+		return notFound(story)
+	}
+	return explain.Render(out, story)
+}
+
+func readFile(r *explain.Reader, path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return cli.Usage("%v.", err)
+	}
+	defer func() { _ = file.Close() }()
+	if err := r.Read(file); err != nil {
+		return errors.Wrap(err, path)
+	}
+	return nil
+}
+
+// notFound says why a request may not be in the logs.
+func notFound(s *explain.Story) error {
+	return errors.Errorf("no line names the request %s, of %d that were read and %d that could not be. "+
+		"The logs say that %d lines about requests were left out; of requests that went well only a sample is logged",
+		s.Request, s.Read, s.Unread, s.LeftOut)
+}
--- a/internal/docgen/logs.go
+++ b/internal/docgen/logs.go
@@ -37,16 +37,16 @@
 ## Keys
 
 A key means the same in every line. Names in ` + "`_ms`" + ` hold milliseconds.
-
-| Key | Value |
-|---|---|
 `
 
 func logsPage() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, logsIntro, logging.DefaultLines)
-	for _, k := range logging.Keys {
-		fmt.Fprintf(&b, "| `%s` | %s |\n", k.Name, k.Doc)
+	for _, section := range logging.Vocabulary {
+		fmt.Fprintf(&b, "\n### Of %s\n\n| Key | Value |\n|---|---|\n", section.About)
+		for _, k := range section.Keys {
+			fmt.Fprintf(&b, "| `%s` | %s |\n", k.Name, k.Doc)
+		}
 	}
 	return b.String()
 }
--- /dev/null
+++ b/internal/explain/line.go
@@ -0,0 +1,82 @@
+// Package explain puts together what the logs of several processes say of one request: its
+// lines in order, and what its processes came to believe shortly before and meanwhile.
+package explain
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logfmt/logfmt"
+
+	"github.com/apricothub/apricothub/internal/logging"
+)
+
+// Field is one key of a line with its value.
+type Field struct{ Key, Value string }
+
+// Line is one line of a log.
+type Line struct {
+	At       time.Time
+	Part, VM string
+	Message  string
+	Request  string
+	// Result is the number and name of a result; empty for a line of no failure.
+	Result string
+	// Fields are the rest, in the order of the line.
+	Fields []Field
+	// order is the place of the line among all that were read, for lines of one moment.
+	order int
+}
+
+// errNotALine says that a text is no line of a process's log.
+var errNotALine = errors.New("no line of a log")
+
+// parseLine reads a line in logfmt.
+func parseLine(text []byte) (Line, error) {
+	var l Line
+	d := logfmt.NewDecoder(bytes.NewReader(text))
+	if !d.ScanRecord() {
+		return l, errNotALine
+	}
+	for d.ScanKeyval() {
+		if err := l.take(string(d.Key()), string(d.Value())); err != nil {
+			return l, err
+		}
+	}
+	if d.Err() != nil || l.At.IsZero() || l.Message == "" {
+		return l, errNotALine
+	}
+	return l, nil
+}
+
+func (l *Line) take(key, value string) (err error) {
+	switch key {
+	case logging.TimeKey:
+		l.At, err = time.Parse(time.RFC3339Nano, value)
+	case logging.PartKey:
+		l.Part = value
+	case logging.SelfKey:
+		l.VM = value
+	case logging.MessageKey:
+		l.Message = value
+	case logging.RequestKey:
+		l.Request = value
+	case logging.ResultKey:
+		l.Result = value
+	case logging.LevelKey:
+	default:
+		l.Fields = append(l.Fields, Field{key, value})
+	}
+	return err
+}
+
+// field returns the value of a key, or an empty one.
+func (l *Line) field(key string) string {
+	for _, f := range l.Fields {
+		if f.Key == key {
+			return f.Value
+		}
+	}
+	return ""
+}
--- a/internal/logging/bound.go
+++ b/internal/logging/bound.go
@@ -28,13 +28,6 @@
 // String names the kind, as lines and metrics show it.
 func (k Kind) String() string { return [...]string{"served", "failed", "state"}[k] }
 
-const (
-	// RequestKey is the key of a request's id; lines without it are State lines.
-	RequestKey = "request"
-	resultKey  = "result"
-	messageKey = "msg"
-)
-
 const (
 	// DefaultLines is the most lines a second that a process writes unless it is told
 	// otherwise: of some hundred bytes each, about what one person's collector takes from
@@ -118,7 +111,7 @@
 	delete(b.dropped, sentence)
 	b.mu.Unlock()
 	if dropped > 0 {
-		keyvals = append(keyvals[:len(keyvals):len(keyvals)], "dropped_before", dropped)
+		keyvals = append(keyvals[:len(keyvals):len(keyvals)], DroppedKey, dropped)
 	}
 	return b.next.Log(keyvals...)
 }
@@ -164,7 +157,7 @@
 	}
 	b.mu.Unlock()
 	if due {
-		_ = level.Warn(b.next).Log(partKey, "logging", messageKey, "Lines were left out, to keep to the bound.",
+		_ = level.Warn(b.next).Log(PartKey, "logging", MessageKey, "Lines were left out, to keep to the bound.",
 			Served.String(), untold[Served], Failed.String(), untold[Failed], State.String(), untold[State])
 	}
 }
@@ -177,9 +170,9 @@
 		switch keyvals[i] {
 		case RequestKey:
 			kind = Served
-		case resultKey:
+		case ResultKey:
 			failed = true
-		case messageKey:
+		case MessageKey:
 			sentence = fmt.Sprint(keyvals[i+1])
 		}
 	}
--- a/internal/logging/keys.go
+++ b/internal/logging/keys.go
@@ -1,5 +1,18 @@
 package logging
 
+// Keys that readers of logs go by.
+const (
+	PartKey    = "part"
+	LevelKey   = "level"
+	TimeKey    = "ts"
+	SelfKey    = "self"
+	MessageKey = "msg"
+	ResultKey  = "result"
+	DroppedKey = "dropped_before"
+	// RequestKey is the key of a request's id; lines without it are about the process.
+	RequestKey = "request"
+)
+
 // Key is one word of the vocabulary of log lines.
 type Key struct {
 	Name string
@@ -7,24 +20,39 @@
 	Doc string
 }
 
-// Keys is the vocabulary of all lines: each key that a process writes stands here, and means
-// the same in every line. docs/LOGS.md shows it.
-var Keys = []Key{
-	// Every line.
-	{partKey, "the part of the process that writes; first in the line"},
-	{"level", "debug, info, warn or error; info where it is absent"},
-	{"ts", "when, UTC"},
-	{selfKey, "the VM whose process writes"},
-	{messageKey, "the sentence: what happened"},
-	{resultKey, "number and name of the result, a row of RESULT-CODES.md; only lines of a failure have it"},
+// Section is the keys that tell of one thing.
+type Section struct {
+	// Name is short, for the rows of an explained line.
+	Name string
+	// About says what the keys tell of.
+	About string
+	Keys  []Key
+}
+
+// Names of sections that commands tell apart.
+const (
+	SectionLine    = "line"
+	SectionBelief  = "believed"
+	SectionRequest = "request"
+	SectionServer  = "server"
+)
+
+// Vocabulary holds each key that a process writes; one means the same in every line.
+// docs/LOGS.md shows it.
+var Vocabulary = []Section{{SectionLine, "every line", []Key{
+	{PartKey, "the part of the process that writes; first in the line"},
+	{LevelKey, "debug, info, warn or error; info where it is absent"},
+	{TimeKey, "when, UTC"},
+	{SelfKey, "the VM whose process writes"},
+	{MessageKey, "the sentence: what happened"},
+	{ResultKey, "number and name of the result, a row of RESULT-CODES.md; only lines of a failure have it"},
 	{"err", "the error behind it, as it was reported"},
 	{"cause", "why, in words"},
-	{"dropped_before", "lines of this sentence left out since its last one"},
+	{DroppedKey, "lines of this sentence left out since its last one"},
 	{Served.String(), "lines left out about requests that went well"},
 	{Failed.String(), "lines left out about requests that did not"},
 	{State.String(), "lines left out about the process"},
-
-	// A request.
+}}, {SectionRequest, "a request", []Key{
 	{RequestKey, "the request's id, as the caller gave it or got it back"},
 	{"route", "name of the route that it matched"},
 	{"kind", "what may be done with the request: once, idempotent or stream; of an order, what a rank is to do"},
@@ -46,8 +74,7 @@
 	{"verdict", "how the attempt ended: unsent, not run, failed, broken or over"},
 	{"again", "whether another attempt follows"},
 	{"why", "why none does"},
-
-	// What was believed, and how old that was.
+}}, {SectionBelief, "what was believed, and how old that was", []Key{
 	{"config", "version of the configuration that was gone by"},
 	{"config_age_ms", "time since the store last confirmed it; -1 for never"},
 	{"servers_age_ms", "time since the store last confirmed the backend servers; -1 for never"},
@@ -58,11 +85,10 @@
 	{"running", "requests of the service that this entry has at servers"},
 	{"waiting", "requests of the service that wait at this entry"},
 	{"entries", "live entries by which the places are shared out"},
+}}, {SectionServer, "a backend server, VM or failure domain", []Key{
 	{"server", "id of the backend server"},
 	{"server_running", "requests there when this one was placed, it included"},
 	{"server_limit", "the most that were to be there"},
-
-	// A backend server, VM or failure domain.
 	{"failure_domain", "failure domain of the server or VM, or the one that is marked"},
 	{"vm", "the other VM that the line is about"},
 	{"address", "IP, or IP and port, of the other side"},
@@ -77,8 +103,7 @@
 	{"limit", "the most requests to have there from now on"},
 	{"open", "whether the service takes work again"},
 	{"out", "whether the failure domain is out from now on"},
-
-	// The process, the store and other entries.
+}}, {"process", "the process, the store and other entries", []Key{
 	{"ip", "IP of this VM"},
 	{"engine", "address of the engine on this VM"},
 	{"store", "address of the platform's store"},
@@ -110,8 +135,7 @@
 	{"routes", "routes in the configuration"},
 	{"services", "services in the configuration"},
 	{"teams", "teams in the configuration"},
-
-	// A group of ranks.
+}}, {"group", "a group of ranks", []Key{
 	{"group", "name of the group"},
 	{"agents", "agents of the group"},
 	{"model", "name of the model"},
@@ -128,4 +152,4 @@
 	{"skew", "slowest rank over the mean, before"},
 	{"skew_after", "the same with the new map, as planned"},
 	{"stretch", "how much longer a switch takes than planned"},
-}
+}}}
--- a/internal/logging/keys_test.go
+++ b/internal/logging/keys_test.go
@@ -15,11 +15,13 @@
 // vocabulary, and each word of the vocabulary is still written by something.
 func TestKeysAreTheVocabulary(t *testing.T) {
 	known := make(map[string]bool)
-	for _, k := range Keys {
-		if _, twice := known[k.Name]; twice || k.Doc == "" {
-			t.Errorf("%s stands twice, or without its meaning", k.Name)
+	for _, section := range Vocabulary {
+		for _, k := range section.Keys {
+			if _, twice := known[k.Name]; twice || k.Doc == "" {
+				t.Errorf("%s stands twice, or without its meaning", k.Name)
+			}
+			known[k.Name] = false
 		}
-		known[k.Name] = false
 	}
 	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
 		if err != nil {
@@ -101,7 +103,7 @@
 
 // constants are the keys that the code has names for.
 var constants = map[string]string{
-	"RequestKey": RequestKey, "partKey": partKey, "selfKey": selfKey, "resultKey": resultKey, "messageKey": messageKey,
+	"RequestKey": RequestKey, "TimeKey": TimeKey, "DroppedKey": DroppedKey, "PartKey": PartKey, "SelfKey": SelfKey, "ResultKey": ResultKey, "MessageKey": MessageKey,
 }
 
 // keyOf returns the key that an expression stands for; empty for what is none.
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -40,15 +40,12 @@
 	}
 	sink := log.NewLogfmtLogger(log.NewSyncWriter(w))
 	filtered := &filter{next: sink, least: least}
-	return log.With(filtered, "ts", log.DefaultTimestampUTC), least, nil
+	return log.With(filtered, TimeKey, log.DefaultTimestampUTC), least, nil
 }
 
-// partKey is the key of the fixed prefix.
-const partKey = "part"
-
 // Part returns the logger of one part; its lines begin with part=name.
 func Part(logger log.Logger, name string) log.Logger {
-	return log.With(logger, partKey, name)
+	return log.With(logger, PartKey, name)
 }
 
 // filter drops lines below the level, and puts the prefix of the part first: the
@@ -67,7 +64,7 @@
 
 func partFirst(keyvals []any) []any {
 	for i := 0; i+1 < len(keyvals); i += 2 {
-		if keyvals[i] != partKey {
+		if keyvals[i] != PartKey {
 			continue
 		}
 		moved := make([]any, 0, len(keyvals))
--- a/internal/logging/process.go
+++ b/internal/logging/process.go
@@ -7,9 +7,6 @@
 	"github.com/go-kit/log"
 )
 
-// selfKey is the key of the VM whose process writes a line.
-const selfKey = "self"
-
 // closePatience is how long a process that ends waits for its last lines to be read: a reader
 // that lives takes them in milliseconds.
 const closePatience = 200 * time.Millisecond
@@ -31,7 +28,7 @@
 		return nil, err
 	}
 	bounded := Bound(logger, linesPerSecond, lines.Busy)
-	return &Process{Logger: Part(log.With(bounded, selfKey, vm), part), Level: least, lines: lines}, nil
+	return &Process{Logger: Part(log.With(bounded, SelfKey, vm), part), Level: least, lines: lines}, nil
 }
 
 // Close writes the last lines, if somebody reads them.
--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -234,7 +234,7 @@
 	if role == "entry" {
 		env = c.EntryEnv
 	}
-	m.Process = startWith(c.report, env, c.Dir, m.VM, c.Bin+"/apricothub", role, "-c", m.file)
+	m.Process = StartWith(c.report, env, c.Dir, m.VM, c.Bin+"/apricothub", role, "-c", m.file)
 }
 
 // Setting returns one setting of a process.
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -45,11 +45,11 @@
 // when the test ends, and by the kernel when the test process dies.
 func Start(report Reporter, dir, name, bin string, args ...string) *Process {
 	report.Helper()
-	return startWith(report, nil, dir, name, bin, args...)
+	return StartWith(report, nil, dir, name, bin, args...)
 }
 
-// startWith is Start with further variables of the environment.
-func startWith(report Reporter, env []string, dir, name, bin string, args ...string) *Process {
+// StartWith is Start with further variables of the environment.
+func StartWith(report Reporter, env []string, dir, name, bin string, args ...string) *Process {
 	report.Helper()
 	p := &Process{Name: name, LogFile: filepath.Join(dir, name+".log"), report: report, bin: bin, args: args, env: env}
 	p.Restart()
