Let hidden log lines take no room of the bound

Cause: the level was looked at behind the bound, so that debug lines that nobody sees used up the room of those that are logged; found while making a level that logs nothing, for measuring. Change: the level stands before the bound; the level none hides all. Before: TestLinesBelowTheLevelTakeNoRoom, 400 hidden lines and one shown: none written.

--- a/internal/command/daemon/gateway.go
+++ b/internal/command/daemon/gateway.go
@@ -31,7 +31,7 @@
 	least, lines := "info", logging.DefaultLines
 	sub := cli.New(name, description, "apricothub "+name)
 	sub.AdditionalHelpAppend = signals + sub.AdditionalHelpAppend
-	sub.String(&least, "l", "log-level", "Least level of the log: debug, info, warn or error.")
+	sub.String(&least, "l", "log-level", "Least level of the log: debug, info, warn, error or none.")
 	sub.Int(&lines, "n", "log-lines", "Most lines of the log in any second; 40 or more.")
 	return &cli.Command{Sub: sub, Run: func(ctx context.Context, out, _ io.Writer) error {
 		loaded, err := platform.LoadSettings()
--- a/internal/logging/bound.go
+++ b/internal/logging/bound.go
@@ -157,7 +157,7 @@
 	}
 	b.mu.Unlock()
 	if due {
-		_ = level.Warn(b.next).Log(PartKey, "logging", MessageKey, "Lines were left out, to keep to the bound.",
+		_ = level.Warn(b.next).Log(PartKey, "logging", TimeKey, now.UTC().Format(time.RFC3339Nano), MessageKey, "Lines were left out, to keep to the bound.",
 			Served.String(), untold[Served], Failed.String(), untold[Failed], State.String(), untold[State])
 	}
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -19,13 +19,13 @@
 }
 
 // ranks orders the names of the levels.
-var ranks = map[string]int32{"debug": 0, "info": 1, "warn": 2, "error": 3}
+var ranks = map[string]int32{"debug": 0, "info": 1, "warn": 2, "error": 3, "none": 4}
 
-// Set changes the level; name is debug, info, warn or error.
+// Set changes the level; name is debug, info, warn, error, or none for no line at all.
 func (l *Level) Set(name string) error {
 	rank, ok := ranks[name]
 	if !ok {
-		return errors.Errorf("%q is not a level: debug, info, warn or error", name)
+		return errors.Errorf("%q is not a level: debug, info, warn, error or none", name)
 	}
 	l.least.Store(rank)
 	return nil
@@ -34,11 +34,16 @@
 // New makes the logger of a process that writes to w, with the level's name and
 // the means to change it.
 func New(w io.Writer, levelName string) (log.Logger, *Level, error) {
+	return filtered(log.NewLogfmtLogger(log.NewSyncWriter(w)), levelName)
+}
+
+// filtered makes the logger before a sink. What is below the level never reaches the sink, and
+// takes no room of a bound there.
+func filtered(sink log.Logger, levelName string) (log.Logger, *Level, error) {
 	least := &Level{}
 	if err := least.Set(levelName); err != nil {
 		return nil, nil, err
 	}
-	sink := log.NewLogfmtLogger(log.NewSyncWriter(w))
 	filtered := &filter{next: sink, least: least}
 	return log.With(filtered, TimeKey, log.DefaultTimestampUTC), least, nil
 }
--- a/internal/logging/process.go
+++ b/internal/logging/process.go
@@ -22,13 +22,13 @@
 // second; level is the least level that is logged.
 func Open(w io.Writer, part, vm, level string, linesPerSecond int) (*Process, error) {
 	lines := NewAsync(w)
-	logger, least, err := New(lines, level)
+	bounded := Bound(log.NewLogfmtLogger(log.NewSyncWriter(lines)), linesPerSecond, lines.Busy)
+	logger, least, err := filtered(bounded, level)
 	if err != nil {
 		lines.Close(0)
 		return nil, err
 	}
-	bounded := Bound(logger, linesPerSecond, lines.Busy)
-	return &Process{Logger: Part(log.With(bounded, SelfKey, vm), part), Level: least, lines: lines}, nil
+	return &Process{Logger: Part(log.With(logger, SelfKey, vm), part), Level: least, lines: lines}, nil
 }
 
 // Close writes the last lines, if somebody reads them.
--- /dev/null
+++ b/internal/logging/process_test.go
@@ -0,0 +1,42 @@
+package logging
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/go-kit/log/level"
+)
+
+// Thousands of lines below the level come, as on each request with debug lines. They take no
+// room of the bound from those that are logged.
+func TestLinesBelowTheLevelTakeNoRoom(t *testing.T) {
+	var out bytes.Buffer
+	p, err := Open(&out, "gateway", "front-1", "info", LeastLines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 10 * LeastLines {
+		_ = level.Debug(p).Log("msg", fmt.Sprint("Hidden ", i%10))
+	}
+	_ = level.Info(p).Log("msg", "Shown.")
+	p.Close()
+	if text := out.String(); !strings.HasPrefix(text, "part=gateway ts=") || strings.Count(text, "\n") != 1 ||
+		!strings.HasSuffix(text, "self=front-1 level=info msg=Shown.\n") {
+		t.Errorf("got %q", text)
+	}
+}
+
+func TestNoneLogsNothing(t *testing.T) {
+	var out bytes.Buffer
+	p, err := Open(&out, "gateway", "front-1", "none", LeastLines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = level.Error(p).Log("msg", "Hidden.")
+	p.Close()
+	if out.Len() > 0 {
+		t.Errorf("got %q", &out)
+	}
+}
