Log each request's way through entry and agent, under one id

Cause: entry and agent logged only faults; what was refused, tried once more or joined anew stood in their journals alone, which a restart loses, and a dump is of one process. Change: one line at the end of a request at entry and agent, with what it was decided by (offset of the configuration, how long it may still be trusted, waits, attempts); one for each attempt that brought no whole answer, each answer that goes on over another link, each ticket that an agent was asked about. Before: TestAFailureIsExplainedAcrossEntryAndAgent would find one line of the agent. A first form of the test expected a refusal; a service killed on a kept connection leaves the outcome unknown, which the lines then showed.

--- a/internal/agent/note.go
+++ b/internal/agent/note.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/journal"
+	"github.com/apricothub/apricothub/internal/logging"
 	"github.com/apricothub/apricothub/internal/result"
 )
 
@@ -36,4 +39,25 @@
 		err = result.FromRefusal(refused)
 	}
 	e.journal.End(record, now, err)
+	e.logWork(work, record, refused)
+}
+
+// logWork logs how a piece of work ended here, under the id that the entry logs it by.
+func (e *executor) logWork(work *api.Work, record *journal.Record, refused *api.Refusal) {
+	fields := logging.Fields(func() []any {
+		return []any{
+			"team", record.Customer, "service", record.Offer, "ticket", record.Ticket,
+			"took_ms", record.TookMs, "waited_ms", record.WaitMs, "config", work.GetApplied(),
+		}
+	})
+	if refused == nil {
+		_ = level.Info(e.logger).Log("msg", "A request was served.", logging.RequestKey, record.Request, logging.FieldsKey, fields)
+		return
+	}
+	msg := "A request was refused."
+	if refused.GetRan() != api.Ran_RAN_NO {
+		msg = "A request failed."
+	}
+	_ = level.Warn(e.logger).Log("msg", msg, logging.RequestKey, record.Request,
+		"result", result.Label(refused.GetCode()), "text", record.Text, "ran", record.Ran, logging.FieldsKey, fields)
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -167,6 +167,9 @@
 		err = e.follow(ctx, a, out)
 	}
 	journal.From(ctx).Tried(a.vm, clock.Now()-started, err)
+	if err != nil {
+		e.logAttempt(a, err)
+	}
 	outcome := place.Outcome{}
 	switch {
 	case err == nil:
@@ -242,6 +245,12 @@
 
 // settle asks the agent what became of a ticket.
 func (e *entry) settle(ctx context.Context, t *api.Ticket, customer string) settlement {
+	s := e.askSettle(ctx, t, customer)
+	e.logSettled(ctx, t, s)
+	return s
+}
+
+func (e *entry) askSettle(ctx context.Context, t *api.Ticket, customer string) settlement {
 	defer e.hold(t.GetAgentVm())()
 	peer, err := e.ticketAgent(ctx, t)
 	if err != nil {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -68,6 +68,7 @@
 			return f.lost()
 		}
 		f.entry.counts.reattached.Inc(1)
+		f.entry.logReattached(f.attempt)
 		peer = next
 	}
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -55,16 +55,6 @@
 // Unwrap gives the cause.
 func (a *abortedError) Unwrap() error { return a.cause }
 
-// logFault logs a request that failed by a fault, of which nobody can say that it has
-// not run. Refusals under load are told by counters and journal.
-func (e *entry) logFault(record *journal.Record, err error) {
-	failed := result.From(err)
-	if failed.Ran == api.Ran_RAN_NO || result.Of(failed.Code).HTTP < http.StatusInternalServerError {
-		return
-	}
-	_ = e.logger.Log("msg", "A request failed.", "result", result.Label(failed.Code), "request", record.Request, "text", failed.Text)
-}
-
 // writeLimit bounds the writing of answers that have no deadline of their own.
 const writeLimit = time.Minute
 
@@ -83,9 +73,9 @@
 		ctx, record := journal.Begin(r.Context(), clock.Now())
 		err := h(w, r.WithContext(ctx))
 		e.journal.End(record, clock.Now(), err)
+		e.logRequest(record, state, err)
 		if err != nil {
 			e.countResult(err)
-			e.logFault(record, err)
 		}
 		switch {
 		case err == nil:
--- a/internal/logging/sentences_test.go
+++ b/internal/logging/sentences_test.go
@@ -29,6 +29,8 @@
 	"A request was served after another attempt.":                         true,
 	"A rank was given an order.":                                          true,
 	"A registration is gone.":                                             true,
+	"An answer goes on over another link.":                                true,
+	"An agent was asked what became of a ticket.":                         true,
 	"A request was served.":                                               true,
 	"A setting has changed.":                                              true,
 	"An order was passed on.":                                             true,
