Name each request from the moment it arrives

Cause: a request got its id only when its key and body had been read, so that a refusal before that named none, and no log line could be found for it. Change: the id is made and told first. Before: TestEachRefusalNamesTheRequest, no id with an old key, an unknown address, no key. After: each has one.

--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -15,11 +15,11 @@
 )
 
 // logRequest logs how a request ended: what was decided on it, and the configuration that was
-// gone by. Other requests than those for work are logged only when they fail.
+// gone by. Requests that need no key, as for addresses, are logged only when they fail.
 func (e *entry) logRequest(record *journal.Record, state *member.State, err error) {
 	fields := logging.Fields(func() []any { return inputs(record, state, err) })
 	switch {
-	case err == nil && record.Request == "":
+	case err == nil && record.Customer == "":
 	case err == nil && len(record.Attempts) > 1:
 		_ = level.Warn(e.logger).Log("msg", "A request was served after another attempt.",
 			logging.RequestKey, record.Request, logging.FieldsKey, fields)
--- /dev/null
+++ b/internal/entry/events_test.go
@@ -0,0 +1,37 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// A device calls with an old key, to an address that does not exist, with a body that cannot
+// be read. Each refusal names an id that operators find, also before anything else is known
+// of the request; and no two are alike.
+func TestEachRefusalNamesTheRequest(t *testing.T) {
+	_, url := startEntry(t, newFakeAgent(t, "b1", whole("x")))
+	seen := make(map[string]bool)
+	for _, c := range []struct{ path, key, body string }{
+		{completions, "old", "{}"},
+		{"/nowhere", testKey, "{}"},
+		{completions, testKey, "{"},
+		{"/v1/tickets", "", ""},
+	} {
+		r, err := http.NewRequest(http.MethodPost, url+c.path, strings.NewReader(c.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Authorization", "Bearer "+c.key)
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		id := resp.Header.Get(headerRequest)
+		if resp.StatusCode < 400 || id == "" || seen[id] {
+			t.Errorf("%s with key %q: status %d, id %q", c.path, c.key, resp.StatusCode, id)
+		}
+		seen[id] = true
+	}
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -55,6 +55,10 @@
 // Unwrap gives the cause.
 func (a *abortedError) Unwrap() error { return a.cause }
 
+// requestBytes is the length of a request's id, bytes, shown as twice as many digits: enough
+// that no two of all entries are alike.
+const requestBytes = 12
+
 // writeLimit bounds the writing of answers that have no deadline of their own.
 const writeLimit = time.Minute
 
@@ -71,6 +75,10 @@
 		// A deadline of the request before would hold on a kept connection.
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeLimit))
 		ctx, record := journal.Begin(r.Context(), clock.Now())
+		// The caller can name the request to operators, who find it in logs and dumps; also one
+		// that is refused before anything is known of it.
+		record.Request = newID(requestBytes)
+		w.Header().Set(headerRequest, record.Request)
 		err := h(w, r.WithContext(ctx))
 		e.journal.End(record, clock.Now(), err)
 		e.logRequest(record, state, err)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -70,17 +70,14 @@
 	if err != nil {
 		return nil, err
 	}
-	id := newID(12)
-	// The caller can name the request to operators, who find it in a dump.
-	w.Header().Set(headerRequest, id)
 	record := journal.From(r.Context())
-	record.Request, record.Customer = id, who.name
+	record.Customer = who.name
 	return &request{
 		caller:   who,
 		arrived:  arrived,
 		deadline: deadline,
 		work: &api.Work{
-			RequestId: id,
+			RequestId: record.Request,
 			Customer:  who.name,
 			Method:    r.Method,
 			Headers:   forwardedHeaders(r.Header),
