Tell once when an engine goes silent, and count at the rank-agent

Cause: the coordinator logged each question that an engine did not answer, and never that it was back; the rank-agent logged neither, had no metrics and no test. Change: a line when an engine goes silent and one when it answers again, with how long that was, at both; /metrics of the rank-agent on the port for links. textmetrics writes what gateway and rank-agent count.

--- a/internal/experts/asking.go
+++ b/internal/experts/asking.go
@@ -31,12 +31,13 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			answers[i].reply = c.ask(ctx, e, req, direct)
+			answers[i].reply, answers[i].err = c.ask(ctx, e, req, direct)
 		}()
 	}
 	wait.Wait()
 	now := clock.Now()
 	for i, a := range answers {
+		c.noteSilence(engines[i], a, now)
 		if a.reply == nil {
 			continue
 		}
@@ -55,6 +56,27 @@
 	reply *api.RankReply
 	// direct says that the engine itself was asked, from afar.
 	direct bool
+	// err says why the engine, or the process beside it, did not answer.
+	err error
+}
+
+// noteSilence logs that an engine has gone silent, or answers again. The caller is the
+// coordinator's own goroutine.
+func (c *Coordinator) noteSilence(e Engine, a answer, now time.Duration) {
+	h := c.beside[e.ID]
+	if h == nil || a.reply == nil && a.err == nil || errors.Is(a.err, context.Canceled) {
+		return
+	}
+	switch {
+	case a.err != nil && h.silentAt == 0:
+		h.silentAt = now
+		_ = level.Warn(c.logger).Log("msg", "An engine does not answer.", "server", e.ID, "direct", a.direct, "err", a.err,
+			"result", result.Label(api.ResultCode_BACKEND_FAILED))
+	case a.err == nil && h.silentAt != 0:
+		_ = level.Info(c.logger).Log("msg", "An engine answers again.", "server", e.ID, "direct", a.direct,
+			"away_ms", (now - h.silentAt).Milliseconds())
+		h.silentAt = 0
+	}
 }
 
 // direct says that an engine is to be asked without the process beside it.
@@ -76,35 +98,37 @@
 	return true
 }
 
-// beside is the process beside an engine, by when it answered last and was tried last.
-type beside struct{ answered, tried time.Duration }
+// beside is the process beside an engine.
+type beside struct {
+	// answered is when it last answered, tried when it was last asked.
+	answered, tried time.Duration
+	// silentAt is since when the engine does not answer, itself or through this process; zero
+	// while it does.
+	silentAt time.Duration
+}
 
 // ask asks the process beside an engine, or with direct the engine itself. Counts and lists
 // are not read from afar: they are dear, and reading them stops the group.
-func (c *Coordinator) ask(ctx context.Context, e Engine, req *api.RankRequest, direct bool) *api.RankReply {
+func (c *Coordinator) ask(ctx context.Context, e Engine, req *api.RankRequest, direct bool) (*api.RankReply, error) {
 	if direct {
 		reply := ranks.Ask(ctx, platform.NewEngine(e.Address, c.client), &api.RankRequest{Order: req.GetOrder()})
-		if reply.GetError() != "" {
-			_ = level.Warn(c.logger).Log("msg", "An engine does not answer.", "server", e.ID, "err", reply.GetError(),
-				"result", result.Label(api.ResultCode_BACKEND_FAILED))
-		}
-		return reply
+		return reply, failureOf(reply)
 	}
-	beside, err := ranks.Beside(e.Address, c.peerPort)
+	address, err := ranks.Beside(e.Address, c.peerPort)
 	if err != nil {
-		return nil
+		return nil, err
 	}
-	reply, err := ranks.Via(ctx, c.client, beside, req)
+	reply, err := ranks.Via(ctx, c.client, address, req)
 	if err != nil {
-		if !errors.Is(err, context.Canceled) {
-			_ = level.Warn(c.logger).Log("msg", "The process beside an engine does not answer.", "server", e.ID, "err", err,
-				"result", result.Label(api.ResultCode_BACKEND_FAILED))
-		}
-		return nil
+		return nil, err
 	}
-	if reply.GetError() != "" {
-		_ = level.Warn(c.logger).Log("msg", "An engine does not answer the process beside it.", "server", e.ID, "err", reply.GetError(),
-			"result", result.Label(api.ResultCode_BACKEND_FAILED))
+	return reply, failureOf(reply)
+}
+
+// failureOf returns the failure that a reply tells of, if any.
+func failureOf(reply *api.RankReply) error {
+	if text := reply.GetError(); text != "" {
+		return errors.New(text)
 	}
-	return reply
+	return nil
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 
@@ -10,12 +9,7 @@
 
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/internal/result"
-)
-
-// sampleSize and sampleAlpha make the histogram follow the last minutes.
-const (
-	sampleSize  = 1028
-	sampleAlpha = 0.015
+	"github.com/apricothub/apricothub/internal/textmetrics"
 )
 
 // resultPrefix begins the names of the counters of results.
@@ -37,7 +31,7 @@
 
 func newCounters() *counters {
 	r := metrics.NewRegistry()
-	sample := func() metrics.Sample { return metrics.NewExpDecaySample(sampleSize, sampleAlpha) }
+	sample := textmetrics.NewSample
 	return &counters{
 		registry: r,
 		requests: metrics.NewRegisteredCounter("gateway.requests", r),
@@ -125,25 +119,5 @@
 	}
 	_, _ = fmt.Fprintf(w, "gateway.store.reads.allowed %g\ngateway.store.writes.allowed %g\n",
 		g.settings.Store.ReadsPerSecond, g.settings.Store.WritesPerSecond)
-	g.metrics.write(w)
-}
-
-// write writes a line name value for each metric, those of the process's log included.
-func (c *counters) write(w io.Writer) {
-	writeAll(w, c.registry)
-	writeAll(w, metrics.DefaultRegistry)
-}
-
-func writeAll(w io.Writer, registry metrics.Registry) {
-	registry.Each(func(name string, m any) {
-		switch m := m.(type) {
-		case metrics.Counter:
-			_, _ = fmt.Fprintf(w, "%s %d\n", name, m.Count())
-		case metrics.Histogram:
-			s := m.Snapshot()
-			for _, p := range []float64{0.5, 0.95, 0.99} {
-				_, _ = fmt.Fprintf(w, "%s.p%02.0f %.0f\n", name, p*100, s.Percentile(p))
-			}
-		}
-	})
+	textmetrics.Write(w, g.metrics.registry, metrics.DefaultRegistry)
 }
--- a/internal/logging/sentences_test.go
+++ b/internal/logging/sentences_test.go
@@ -29,6 +29,7 @@
 	"A request was served after another attempt.":                         true,
 	"A rank was given an order.":                                          true,
 	"A registration is gone.":                                             true,
+	"An engine answers again.":                                            true,
 	"An answer goes on over another link.":                                true,
 	"An agent was asked what became of a ticket.":                         true,
 	"A request was served.":                                               true,
