--- a/test/fakeplatform/caller.go
+++ b/test/fakeplatform/caller.go
@@ -1,6 +1,7 @@
 package fakeplatform
 
 import (
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -18,14 +19,10 @@
 
 // AskAt sends a request to an address, as Ask does.
 func AskAt(client *http.Client, address, path, id string) int {
-	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("x"))
+	req, err := NewRequest(address, path, id)
 	if err != nil {
 		return 0
 	}
-	req.Host = "h.example"
-	for name, value := range map[string]string{"Attempt-Id": id, "Api-Key": CallerKey, "Deadline-Ms": "6000"} {
-		req.Header.Set(name, value)
-	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0
@@ -37,6 +34,35 @@
 	return resp.StatusCode
 }
 
+// Resolve asks the entry with an IP where to connect; none when it does not answer.
+func Resolve(client *http.Client, ip string) []string {
+	resp, err := client.Get("http://" + net.JoinHostPort(ip, PortDirectory) + "/apricothub/resolve?name=h.example")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+	}
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&answer) != nil {
+		return nil
+	}
+	return answer.Addresses
+}
+
+// NewRequest makes a request of team north to an address.
+func NewRequest(address, path, id string) (*http.Request, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("x"))
+	if err != nil {
+		return nil, err
+	}
+	req.Host = "h.example"
+	for name, value := range map[string]string{"Attempt-Id": id, "Api-Key": CallerKey, "Deadline-Ms": "6000"} {
+		req.Header.Set(name, value)
+	}
+	return req, nil
+}
+
 // Ready says whether the entry at an address takes new connections.
 func Ready(ip string) bool {
 	resp, err := http.Get("http://" + net.JoinHostPort(ip, PortReadiness) + "/apricothub/readyz")
