Prove the promises on gateways as processes of their own

Pushes, drafts, replacement of all entries, a domain taken out (plain, with the store turning one entry away, with one frozen), and configurations while entries are killed, frozen and cut off, the last checked as one versioned register.

--- /dev/null
+++ b/test/gateway_inforce_test.go
@@ -0,0 +1,219 @@
+package test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apricothub/apricothub/internal/history"
+	"github.com/apricothub/apricothub/test/fakeplatform"
+)
+
+const (
+	// heardOf is when a mark or a configuration must be in force at a gateway that could hear
+	// of it: the brief's few seconds.
+	heardOf = 5 * time.Second
+	// contact is how long a gateway that was frozen or cut off must have been undisturbed
+	// before that counts again.
+	contact = 3 * time.Second
+)
+
+// arrivals remembers when a failure domain's server last got a request.
+type arrivals struct {
+	mu   sync.Mutex
+	last time.Time
+	n    int
+}
+
+func (a *arrivals) note() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.last = time.Now()
+	a.n++
+}
+
+func (a *arrivals) get() (time.Time, int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.last, a.n
+}
+
+// Operators take a failure domain out while callers press. Its server gets nothing new after
+// five seconds: also when the store turns one gateway away from just before the mark on, which
+// must hear of it from another, and when a gateway was frozen across the mark, and wakes with
+// requests that it had placed.
+func TestGatewaysSendNothingIntoADomainThatIsOut(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name string
+		// disturb is what happens around the mark, and quiet the time from the mark on after
+		// which nothing more may come.
+		disturb func(g *gatewayProcess, mark func())
+		quiet   time.Duration
+	}{
+		{"plain", func(_ *gatewayProcess, mark func()) { mark() }, heardOf},
+		{"the store turns one away", func(g *gatewayProcess, mark func()) {
+			g.door.Shut.Store(true)
+			mark()
+		}, heardOf},
+		{"one is frozen", func(g *gatewayProcess, mark func()) {
+			g.Pause()
+			mark()
+			time.Sleep(2 * time.Second)
+			g.Continue()
+		}, 2*time.Second + contact + heardOf},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			out := &arrivals{}
+			s := startSite(t, 2, func(s fakeplatform.Seen, conn net.Conn) bool {
+				if s.Request.Header.Get("Target-Instance") == "i-b" {
+					out.note()
+				}
+				return fakeplatform.Echo(s, conn)
+			})
+			stop := s.callGateways(t, 8)
+			waitFor(t, "the domain gets requests", func() bool { _, n := out.get(); return n > 10 })
+			var marked time.Time
+			c.disturb(s.gateways[1], func() {
+				s.store.Put("keyed.op", "evacuate/b", "{}")
+				marked = time.Now()
+			})
+			time.Sleep(time.Until(marked.Add(c.quiet + 2*time.Second)))
+			served := stop()
+			last, n := out.get()
+			t.Logf("the last of %d requests came %s after the mark; %d were served in all", n, last.Sub(marked).Round(time.Millisecond), served)
+			if last.Sub(marked) > c.quiet {
+				t.Errorf("a request came %s after the mark", last.Sub(marked))
+			}
+			if served < 100 {
+				t.Error("too little happened: the test shows nothing")
+			}
+		})
+	}
+}
+
+// callGateways lets callers send look-ups to all gateways, each to its own, until the returned
+// function is called, which returns how many were served.
+func (s *site) callGateways(t *testing.T, callers int) func() int {
+	t.Helper()
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	served := 0
+	for i := range callers {
+		group.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}, Timeout: stateTime}
+			address := net.JoinHostPort(s.gateways[i%len(s.gateways)].ip, fakeplatform.PortCallers)
+			for n := 0; !isClosed(stop); n++ {
+				if fakeplatform.AskAt(client, address, "/look/1", fmt.Sprintf("l%d-%d", i, n)) == http.StatusOK {
+					mu.Lock()
+					served++
+					mu.Unlock()
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	return func() int {
+		close(stop)
+		group.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		return served
+	}
+}
+
+func waitFor(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(siteWait); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if is() {
+			return
+		}
+	}
+	t.Fatalf("not within %s: %s", siteWait, what)
+}
+
+// Operators publish versions in a row while gateways are killed, frozen and cut off from the
+// store. What each gateway says that it goes by is one versioned register: no gateway, also
+// one that has just been replaced, goes back, and none shows a version that was not published.
+// Once all is quiet the last one is in force at all.
+func TestGatewaysNeverGoBackToAnOlderConfiguration(t *testing.T) {
+	t.Parallel()
+	const seed, versions = 7, 30
+	s := startSite(t, 3, fakeplatform.Echo)
+	began := time.Now()
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	looks, last := 0, map[int]int{}
+	h := &history.History{Publishes: []history.Publish{{Base: history.Nothing, Outcome: history.Accepted, Offset: 1}}}
+	for i, g := range s.gateways {
+		group.Go(func() {
+			for !isClosed(stop) {
+				called := time.Since(began)
+				state, err := g.state()
+				if err == nil && state.Config != 0 {
+					mu.Lock()
+					last[i] = noteRead(h, history.Read{Process: i, Call: called, Return: time.Since(began), Offset: state.Config}, last[i])
+					looks++
+					mu.Unlock()
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	group.Go(func() {
+		for v := int64(2); v <= versions; v++ {
+			called := time.Since(began)
+			s.store.Configure(int(v), fakeplatform.Routes(), fakeplatform.CallerKey)
+			mu.Lock()
+			h.Publishes = append(h.Publishes, history.Publish{
+				Call: called, Return: time.Since(began), Base: v - 1, Outcome: history.Accepted, Offset: v,
+			})
+			mu.Unlock()
+			time.Sleep(250 * time.Millisecond)
+		}
+	})
+	rng := rand.New(rand.NewPCG(seed, 1))
+	for range 6 {
+		shut := s.gateways[rng.IntN(len(s.gateways))]
+		shut.door.Shut.Store(true)
+		s.breakGateways(rng, 2)
+		shut.door.Shut.Store(false)
+	}
+	waitFor(t, "the last version is in force everywhere", func() bool {
+		for _, g := range s.gateways {
+			if state, err := g.state(); err != nil || state.Config != versions {
+				return false
+			}
+		}
+		return true
+	})
+	close(stop)
+	group.Wait()
+	// Within its freshness a gateway may show what was in force a while ago; a replaced one
+	// starts with what the others or the store tell.
+	if err := h.Check(heardOf+contact, time.Minute); err != nil {
+		t.Error(err)
+	}
+	t.Logf("%d versions, %d looks", len(h.Publishes), looks)
+	if looks < 100 {
+		t.Error("too little happened: the test shows nothing")
+	}
+}
+
+// noteRead adds a look at a gateway, whose last one stands at an index plus one, zero for none.
+// Of looks with the same outcome the first and the last are kept, which say as much as all.
+func noteRead(h *history.History, read history.Read, last int) int {
+	if last > 0 && h.Reads[last-1].Offset == read.Offset {
+		h.Reads[last-1] = read
+		return last
+	}
+	h.Reads = append(h.Reads, read, read)
+	return len(h.Reads)
+}
--- /dev/null
+++ b/test/gateway_once_test.go
@@ -0,0 +1,193 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricothub/apricothub/internal/result"
+	"github.com/apricothub/apricothub/test/fakeplatform"
+)
+
+// pushLedger counts how often each attempt of a caller ran, by what backend servers did.
+type pushLedger struct {
+	mu  sync.Mutex
+	of  map[string]int
+	rng *rand.Rand
+}
+
+// answer is that of a backend server in a bad night: most requests run and are answered, some
+// run and the connection breaks, some run slowly, some are refused.
+func (r *pushLedger) answer(s fakeplatform.Seen, conn net.Conn) bool {
+	r.mu.Lock()
+	fate := r.rng.IntN(100)
+	if fate >= 10 {
+		r.of[s.ID()]++
+	}
+	r.mu.Unlock()
+	switch {
+	case fate < 10:
+		return fakeplatform.Refuse(s, conn)
+	case fate < 20:
+		return false
+	case fate < 30:
+		time.Sleep(300 * time.Millisecond)
+	}
+	return fakeplatform.Echo(s, conn)
+}
+
+func (r *pushLedger) count(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.of[id]
+}
+
+// outcome is what a caller knows of an attempt.
+type outcome int
+
+const (
+	answered outcome = iota
+	// notRun says that the caller was told so, or that there was no connection to send it on.
+	notRun
+	unknown
+)
+
+// press sends one attempt of a push, and checks what it was told against what ran.
+func (r *pushLedger) press(t *testing.T, client *http.Client, address, id string) outcome {
+	req, err := fakeplatform.NewRequest(address, "/push/1", id)
+	if err != nil {
+		t.Error(err)
+		return unknown
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		var dial *net.OpError
+		if errors.As(err, &dial) && dial.Op == "dial" {
+			return notRun
+		}
+		return unknown
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return unknown
+	}
+	if resp.StatusCode == http.StatusOK {
+		if string(body) != "answer to "+id || r.count(id) != 1 {
+			t.Errorf("push %s was answered %q and ran %d times", id, body, r.count(id))
+		}
+		return answered
+	}
+	var said result.Body
+	if json.Unmarshal(body, &said) != nil || said.Error.Ran != "no" {
+		return unknown
+	}
+	return notRun
+}
+
+// Stores press pushes while entries are killed, frozen and stopped, and price services break
+// connections off or refuse. A store presses again under a new id only when it was told that
+// the push has not run. At the end no push has run twice, and none ran of which a store was
+// told that it had not, also none that an entry woke up with later.
+func TestPushesThroughGatewaysRunOnce(t *testing.T) {
+	t.Parallel()
+	const seed, callers, faults = 1, 24, 14
+	r := &pushLedger{of: make(map[string]int), rng: rand.New(rand.NewPCG(seed, 1))}
+	s := startSite(t, 3, r.answer)
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	told := make(map[string]outcome)
+	calls := make(map[string][]string)
+	for i := range callers {
+		group.Go(func() {
+			book := s.newBook()
+			client := &http.Client{Transport: &http.Transport{}, Timeout: 8 * time.Second}
+			for n := 0; !isClosed(stop); n++ {
+				call := fmt.Sprintf("c%d-%d", i, n)
+				for again := range 6 {
+					id := fmt.Sprintf("%s.%d", call, again)
+					o := r.press(t, client, book.pick(), id)
+					mu.Lock()
+					told[id] = o
+					calls[call] = append(calls[call], id)
+					mu.Unlock()
+					if o != notRun {
+						break
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+		})
+	}
+	s.breakGateways(rand.New(rand.NewPCG(seed, 2)), faults)
+	close(stop)
+	group.Wait()
+	checkRuns(t, r, told, calls)
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// breakGateways kills, freezes and stops gateways, one after the other, and lets them come
+// back.
+func (s *site) breakGateways(rng *rand.Rand, faults int) {
+	for range faults {
+		g := s.gateways[rng.IntN(len(s.gateways))]
+		switch rng.IntN(4) {
+		case 0:
+			g.Kill()
+			g.Restart()
+		case 1:
+			g.Signal(syscall.SIGTERM)
+			time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+			g.Kill()
+			g.Restart()
+		default:
+			g.Pause()
+			time.Sleep(time.Duration(100+rng.IntN(700)) * time.Millisecond)
+			g.Continue()
+		}
+		time.Sleep(time.Duration(100+rng.IntN(400)) * time.Millisecond)
+	}
+}
+
+// checkRuns compares what callers were told with what ran.
+func checkRuns(t *testing.T, r *pushLedger, told map[string]outcome, calls map[string][]string) {
+	t.Helper()
+	var seen [3]int
+	for id, o := range told {
+		seen[o]++
+		if n := r.count(id); n > 1 || o == notRun && n > 0 {
+			t.Errorf("push %s, outcome %d, ran %d times", id, o, n)
+		}
+	}
+	for call, ids := range calls {
+		total := 0
+		for _, id := range ids {
+			total += r.count(id)
+		}
+		if total > 1 {
+			t.Errorf("call %s ran %d times", call, total)
+		}
+	}
+	t.Logf("%d calls: %d attempts answered, %d not run, %d of unknown outcome", len(calls), seen[answered], seen[notRun], seen[unknown])
+	if seen[answered] < 100 || seen[notRun] == 0 || seen[unknown] == 0 {
+		t.Error("too little happened: the test shows nothing")
+	}
+}
--- /dev/null
+++ b/test/gateway_streams_test.go
@@ -0,0 +1,215 @@
+package test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apricothub/apricothub/test/fakeplatform"
+)
+
+// streamEvents is the number of events of a whole stream.
+const streamEvents = 24
+
+// eventOf is one event of the stream of a draft.
+func eventOf(draft string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s part %d\n\n", n, draft, n)
+}
+
+func wholeStream(draft string) string {
+	var text strings.Builder
+	for n := 1; n <= streamEvents; n++ {
+		text.WriteString(eventOf(draft, n))
+	}
+	return text.String()
+}
+
+// streamer is a backend server that streams drafts, and breaks some off, in the middle of an
+// event too.
+type streamer struct {
+	mu     sync.Mutex
+	rng    *rand.Rand
+	breaks int
+	// each is the time between two events.
+	each time.Duration
+	// breakOff is the part of streams that break off, in 100.
+	breakOff int
+}
+
+func (s *streamer) answer(seen fakeplatform.Seen, conn net.Conn) bool {
+	path, isDraft := strings.CutPrefix(seen.Request.URL.Path, "/draft/")
+	if !isDraft {
+		return fakeplatform.Echo(seen, conn)
+	}
+	s.mu.Lock()
+	breakAt := streamEvents + 1
+	if s.rng.IntN(100) < s.breakOff {
+		breakAt = 1 + s.rng.IntN(streamEvents)
+		s.breaks++
+	}
+	s.mu.Unlock()
+	_, _ = io.WriteString(conn, fakeplatform.StreamHead(seen))
+	after, err := strconv.Atoi(seen.ResumeAfter())
+	if err != nil {
+		after = 0
+	}
+	for n := after + 1; n <= streamEvents; n++ {
+		event := eventOf(path, n)
+		if n == breakAt {
+			// A chunk that promises more than comes.
+			_, _ = io.WriteString(conn, fmt.Sprintf("%x\r\n%s", len(event), event[:len(event)/2]))
+			return false
+		}
+		if _, err := io.WriteString(conn, fakeplatform.Chunk(event)); err != nil {
+			return false
+		}
+		time.Sleep(s.each)
+	}
+	_, err = io.WriteString(conn, "0\r\n\r\n")
+	return err == nil
+}
+
+// readDraft reads a stream through gateways, going on elsewhere behind the last whole event when
+// it breaks off, as callers do. It returns what it has, whether the last part looked whole, and
+// how often it went on.
+func readDraft(client *http.Client, book *addressBook, draft string, most int) (text string, whole bool, resumed int) {
+	var got bytes.Buffer
+	last := ""
+	for n := range most {
+		req, err := fakeplatform.NewRequest(book.pick(), "/draft/"+draft, fmt.Sprintf("%s.%d", draft, n))
+		if err != nil {
+			return got.String(), false, n
+		}
+		if last != "" {
+			req.Header.Set("Last-Event-Id", last)
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		// Of a part that broke off, only whole events count.
+		got.Write(body[:wholeEvents(body)])
+		if at := strings.LastIndex(got.String(), "id: "); at >= 0 {
+			last, _, _ = strings.Cut(got.String()[at+len("id: "):], "\n")
+		}
+		if err == nil {
+			return got.String(), true, n
+		}
+	}
+	return got.String(), false, most
+}
+
+func wholeEvents(body []byte) int {
+	if at := bytes.LastIndex(body, []byte("\n\n")); at >= 0 {
+		return at + len("\n\n")
+	}
+	return 0
+}
+
+// Callers read long drafts while model servers break off in the middle of events and entries
+// are killed and frozen. A draft that looks whole is whole, byte for byte and of the caller's
+// own request; one that broke off goes on elsewhere with nothing missing and nothing twice.
+func TestDraftsThroughGatewaysAreWhole(t *testing.T) {
+	t.Parallel()
+	const seed, callers, faults = 3, 24, 10
+	s := &streamer{rng: rand.New(rand.NewPCG(seed, 1)), each: 10 * time.Millisecond, breakOff: 20}
+	world := startSite(t, 3, s.answer)
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	read, resumed := 0, 0
+	for i := range callers {
+		group.Go(func() {
+			book := world.newBook()
+			client := &http.Client{Transport: &http.Transport{}, Timeout: 8 * time.Second}
+			for n := 0; !isClosed(stop); n++ {
+				draft := fmt.Sprintf("d%d-%d", i, n)
+				text, whole, again := readDraft(client, book, draft, 8)
+				want := wholeStream(draft)
+				if whole && text != want || !strings.HasPrefix(want, text) {
+					t.Errorf("draft %s, looks whole %v, is %q", draft, whole, text)
+				}
+				mu.Lock()
+				if whole {
+					read++
+				}
+				resumed += again
+				mu.Unlock()
+			}
+		})
+	}
+	world.breakGateways(rand.New(rand.NewPCG(seed, 2)), faults)
+	close(stop)
+	group.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.Logf("%d drafts read whole, %d parts read anew by callers, %d broken off by servers", read, resumed, s.breaks)
+	if read < 100 || resumed == 0 || s.breaks == 0 {
+		t.Error("too little happened: the test shows nothing")
+	}
+}
+
+// All entries are replaced one after the other, with drafts under way at each and callers that
+// use their connections on and keep addresses for two seconds. No caller notices: no stream is
+// cut, nothing is refused, no connection fails.
+func TestGatewaysAreReplacedUnnoticed(t *testing.T) {
+	t.Parallel()
+	const callers = 24
+	s := &streamer{rng: rand.New(rand.NewPCG(5, 1)), each: 20 * time.Millisecond}
+	world := startSite(t, 3, s.answer)
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	served := 0
+	for i := range callers {
+		group.Go(func() {
+			book := world.newBook()
+			client := &http.Client{Transport: &http.Transport{}, Timeout: 8 * time.Second}
+			for n := 0; !isClosed(stop); n++ {
+				name := fmt.Sprintf("r%d-%d", i, n)
+				ok := false
+				if i%2 == 0 {
+					text, whole, again := readDraft(client, book, name, 1)
+					ok = whole && again == 0 && text == wholeStream(name)
+				} else {
+					ok = fakeplatform.AskAt(client, book.pick(), "/push/1", name) == http.StatusOK
+					time.Sleep(10 * time.Millisecond)
+				}
+				mu.Lock()
+				served++
+				if !ok {
+					t.Errorf("request %s failed", name)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for _, g := range world.gateways {
+		if status := g.Terminate(); status != 0 {
+			t.Errorf("%s ended with status %d", g.vm, status)
+		}
+		g.Restart()
+		world.awaitWhole()
+	}
+	close(stop)
+	group.Wait()
+	t.Logf("%d requests", served)
+	if served < 500 {
+		t.Error("too little happened: the test shows nothing")
+	}
+}
