Claim every rank before anything is done with a group

Ruled out: late orders and passes alone between the answers (20,000 runs without a fault), so that the fencing number, which a rank learns only with its first order, is what comes too late. Change: each rank is given an order that changes nothing, with the new number, once in each epoch; until all have taken it no other order is given. An exhaustive model is still to be written.

--- a/coord/mapswitch/mapswitch.go
+++ b/coord/mapswitch/mapswitch.go
@@ -17,6 +17,10 @@
 // map prepared, armed already, or the pass begun, and is refused. The hold that nobody lets
 // go cannot lapse either: the group then waits, which costs time and no answer.
 //
+// A coordinator that has not heard that it was followed may still act. Before anything else
+// every rank is therefore told the number of the new one, in each epoch: from then on it
+// refuses the old one, on engines that compare numbers.
+//
 // A Machine holds no clock, socket or goroutine, and is not safe for use by several
 // goroutines at once.
 package mapswitch
@@ -61,10 +65,12 @@
 	Disarm
 	// Go lets go of a hold.
 	Go
+	// Claim changes nothing but that the rank refuses coordinators with lower numbers.
+	Claim
 )
 
 // String names the order.
-func (k Kind) String() string { return [...]string{"prepare", "hold", "arm", "disarm", "go"}[k] }
+func (k Kind) String() string { return [...]string{"prepare", "hold", "arm", "disarm", "go", "claim"}[k] }
 
 // Order is an order to one rank.
 type Order struct {
@@ -92,6 +98,8 @@
 	cfg Config
 	// sent is when each order was given last.
 	sent map[Order]time.Duration
+	// claimed is the epoch in which each rank has taken a claim.
+	claimed map[int]int64
 }
 
 // New returns a machine that has given no order.
@@ -102,7 +110,7 @@
 	if cfg.Again == 0 {
 		cfg.Again = 250 * time.Millisecond
 	}
-	return &Machine{cfg: cfg, sent: make(map[Order]time.Duration)}
+	return &Machine{cfg: cfg, sent: make(map[Order]time.Duration), claimed: make(map[int]int64)}
 }
 
 // Decision is what to do next.
@@ -121,6 +129,9 @@
 	if len(ranks) == 0 || !sameEpoch(ranks) {
 		return Decision{Busy: true}
 	}
+	if d, done := m.claim(now, ranks); !done {
+		return d
+	}
 	holder, arming := lowestHold(ranks), firstArmed(ranks)
 	if arming != nil && (holder < 0 || arming.Step < *ranks[holder].Held) {
 		return m.armedWithoutHold(now, ranks, *arming)
@@ -151,6 +162,28 @@
 	return d
 }
 
+// Claimed says that a rank has taken a claim. What it is reported to be must have been read
+// after that.
+func (m *Machine) Claimed(rank int, epoch int64) { m.claimed[rank] = epoch }
+
+// claim has every rank refuse coordinators with lower numbers.
+//
+// Safeguard: the ranks' reports are of different moments. Without this, the coordinator before
+// may in between hold the group, arm all ranks and let go; the one rank that was read after
+// that is taken for the only one armed and is disarmed, and the pass begins with two maps.
+func (m *Machine) claim(now time.Duration, ranks []Status) (Decision, bool) {
+	d := Decision{Busy: true}
+	all := true
+	for rank, s := range ranks {
+		if epoch, ok := m.claimed[rank]; ok && epoch == s.Epoch {
+			continue
+		}
+		all = false
+		d.Orders = m.give(d.Orders, now, Order{Rank: rank, Kind: Claim, Epoch: s.Epoch})
+	}
+	return d, all
+}
+
 // holding says that an order to hold is on its way. Another one for a later pass would
 // follow it with each report.
 func (m *Machine) holding(now time.Duration) bool {
--- a/coord/mapswitch/sim_test.go
+++ b/coord/mapswitch/sim_test.go
@@ -34,6 +34,8 @@
 	history []string
 	// past are the reports of the last steps, newest last.
 	past [][]Status
+	// other is the coordinator that may act while one asks; nil for none.
+	other *simCoordinator
 }
 
 func (s *sim) note(format string, args ...any) {
@@ -146,11 +148,41 @@
 	return out
 }
 
-// seen returns what a coordinator sees: the reports of this moment, but for one rank that is
-// asked from afar and tells of a moment ago.
+func order(n int) []int {
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// meanwhile is what may happen between the answers of two ranks that were asked at once.
+func (s *sim) meanwhile() {
+	if rapid.IntRange(0, 3).Draw(s.t, "passes meanwhile") == 0 {
+		s.pass()
+	}
+	if len(s.flying) > 0 && rapid.IntRange(0, 3).Draw(s.t, "arrives meanwhile") == 0 {
+		n := rapid.IntRange(0, len(s.flying)-1).Draw(s.t, "which")
+		o := s.flying[n]
+		s.flying = append(s.flying[:n:n], s.flying[n+1:]...)
+		s.note("carried out meanwhile %v: %v", o, s.apply(o))
+	}
+	if other := s.other; other != nil && rapid.IntRange(0, 3).Draw(s.t, "acts meanwhile") == 0 {
+		s.other = nil
+		s.step(other)
+		s.other = other
+	}
+}
+
+// seen returns what a coordinator sees: the ranks' answers to one question, each of a moment of
+// its own, but for one rank that is asked from afar and tells of a moment ago.
 func (s *sim) seen() []Status {
-	now := s.statuses()
-	s.past = append(s.past, now)
+	now := make([]Status, len(s.ranks))
+	for _, i := range rapid.Permutation(order(len(s.ranks))).Draw(s.t, "order") {
+		s.meanwhile()
+		now[i] = s.statuses()[i]
+	}
+	s.past = append(s.past, s.statuses())
 	s.past = s.past[max(0, len(s.past)-4):]
 	far := rapid.IntRange(0, 3*len(now)).Draw(s.t, "far")
 	if far >= len(now) {
@@ -190,6 +222,9 @@
 		}
 		for _, o := range d.Orders {
 			if s.send(c, o) {
+				if o.Kind == Claim {
+					c.machine.Claimed(o.Rank, o.Epoch)
+				}
 				seen[o.Rank] = s.answered(seen[o.Rank], o)
 			}
 		}
@@ -244,10 +279,16 @@
 		before := c
 		for s.now = range rapid.IntRange(20, 300).Draw(t, "length") {
 			s.deliver()
+			both := before != c && s.fenced && rapid.Bool().Draw(t, "both")
+			if both {
+				s.other = before
+			}
 			s.step(c)
-			if before != c && s.fenced && rapid.Bool().Draw(t, "both") {
+			if both {
+				s.other = c
 				s.step(before)
 			}
+			s.other = nil
 			switch rapid.IntRange(0, 30).Draw(t, "event") {
 			case 0:
 				// Another coordinator takes over; what this one gave may still be on its way.
@@ -295,7 +336,9 @@
 				c.renew()
 			}
 			for _, o := range d.Orders {
-				s.apply(simOrder{Order: o, fence: 2, content: 2})
+				if s.apply(simOrder{Order: o, fence: 2, content: 2}) && o.Kind == Claim {
+					c.machine.Claimed(o.Rank, o.Epoch)
+				}
 			}
 			s.pass()
 		}
--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -216,6 +216,9 @@
 	return c.fence.Load()*versionsPerFence + c.versions
 }
 
+// noVersion is a version that no coordinator makes.
+func (c *Coordinator) noVersion() int64 { return c.fence.Load() * versionsPerFence }
+
 // followedBy says that ranks have a version of a coordinator with a higher number. A
 // coordinator that only found its own versions too low would make new ones for good.
 func (c *Coordinator) followedBy(status []mapswitch.Status) bool {
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -265,6 +265,9 @@
 func (g *group) order(ctx context.Context, members []*member, orders []mapswitch.Order) {
 	byRank := make(map[int]mapswitch.Order, len(orders))
 	for _, o := range orders {
+		if o.Kind == mapswitch.Claim {
+			o.Version = g.c.noVersion()
+		}
 		byRank[o.Rank] = o
 	}
 	engines := make([]Engine, len(members))
@@ -291,6 +294,9 @@
 			continue
 		}
 		members[rank].take(o, a)
+		if o.Kind == mapswitch.Claim && a.reply.GetResult() == api.OrderResult_ORDER_TAKEN {
+			g.machine.Claimed(rank, o.Epoch)
+		}
 		_ = level.Info(g.c.logger).Log("msg", "A rank was given an order.", "group", g.name, "rank", rank, "kind", o.Kind,
 			"version", o.Version, "step", o.Step, "epoch", o.Epoch, "fence", g.c.fence.Load(), "outcome", a.reply.GetResult(), "direct", a.direct)
 	}
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -111,6 +111,7 @@
 	mapswitch.Arm:     api.RankOrder_ARM,
 	mapswitch.Disarm:  api.RankOrder_DISARM,
 	mapswitch.Go:      api.RankOrder_GO,
+	mapswitch.Claim:   api.RankOrder_CLAIM,
 }
 
 var kindFromWire = map[api.RankOrder_Kind]mapswitch.Kind{
@@ -119,6 +120,7 @@
 	api.RankOrder_ARM:     mapswitch.Arm,
 	api.RankOrder_DISARM:  mapswitch.Disarm,
 	api.RankOrder_GO:      mapswitch.Go,
+	api.RankOrder_CLAIM:   mapswitch.Claim,
 }
 
 var resultToWire = map[platform.OrderResult]api.OrderResult{
