--- a/coord/mapswitch/mapswitch.go
+++ b/coord/mapswitch/mapswitch.go
@@ -70,7 +70,9 @@
 )
 
 // String names the order.
-func (k Kind) String() string { return [...]string{"prepare", "hold", "arm", "disarm", "go", "claim"}[k] }
+func (k Kind) String() string {
+	return [...]string{"prepare", "hold", "arm", "disarm", "go", "claim"}[k]
+}
 
 // Order is an order to one rank.
 type Order struct {
