--- /dev/null
+++ b/coord/mapswitch/claim_test.go
@@ -0,0 +1,40 @@
+package mapswitch
+
+import "testing"
+
+// The coordinator before is still at work: it has prepared and held, arms all ranks and lets
+// go, while a new one reads rank 2 before that, rank 0 in the middle and rank 1 after. Rank 1
+// looks like the only one armed, of a map that rank 2 lacks. Taking that back would let one
+// rank begin pass 33 with the old map; callers would get nonsense that looks whole.
+func TestNothingIsTakenBackBeforeAllAreClaimed(t *testing.T) {
+	held := int64(33)
+	read := []Status{
+		{Epoch: 1, Step: 30, Prepared: 513, Held: &held},
+		{Epoch: 1, Step: 30, Prepared: 513, Armed: &Arming{Version: 513, Step: 33}},
+		{Epoch: 1, Step: 30},
+	}
+	m := New(Config{})
+	d := m.Next(0, read, 769)
+	if len(d.Orders) != len(read) || !d.Busy {
+		t.Fatalf("the first decision is %+v", d)
+	}
+	for rank, o := range d.Orders {
+		if o.Kind != Claim || o.Rank != rank || o.Epoch != 1 {
+			t.Errorf("the first orders are %+v", d.Orders)
+		}
+	}
+	m.Claimed(0, 1)
+	m.Claimed(1, 1)
+	if d := m.Next(m.cfg.Again, read, 769); len(d.Orders) != 1 || d.Orders[0].Kind != Claim || d.Orders[0].Rank != 2 {
+		t.Errorf("with one rank not claimed yet: %+v", d.Orders)
+	}
+	m.Claimed(2, 1)
+	armed := Status{Epoch: 1, Step: 31, Prepared: 513, Armed: &Arming{Version: 513, Step: 33}}
+	if d := m.Next(m.cfg.Again, []Status{armed, armed, armed}, 769); len(d.Orders) != 0 || !d.Busy {
+		t.Errorf("all armed and let go: %+v", d)
+	}
+	// The group has broken and opened again: its ranks know no number any more.
+	if d := m.Next(m.cfg.Again, []Status{{Epoch: 2}, {Epoch: 2}, {Epoch: 2}}, 769); len(d.Orders) != 3 || d.Orders[0].Kind != Claim {
+		t.Errorf("in a new epoch: %+v", d.Orders)
+	}
+}
--- /dev/null
+++ b/spec/mapswitch-late.pml
@@ -0,0 +1,9 @@
+/*
+ * mapswitch.pml with an order that is carried out at any later time: two ranks, and two passes.
+ */
+#define RANKS 2
+#define LATE 1
+#ifndef PASSES
+#define PASSES 2
+#endif
+#include "mapswitch.pml"
