--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -12,6 +12,7 @@
 	"github.com/apricothub/apricothub/decide/balance"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/ranks"
+	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/internal/routing"
 )
 
@@ -288,6 +289,7 @@
 		}
 		return &api.RankRequest{Order: sent}
 	})
+	g.logOrders(byRank, answers)
 	for rank, a := range answers {
 		o, ok := byRank[rank]
 		if !ok {
@@ -297,8 +299,27 @@
 		if o.Kind == mapswitch.Claim && a.reply.GetResult() == api.OrderResult_ORDER_TAKEN {
 			g.machine.Claimed(rank, o.Epoch)
 		}
-		_ = level.Info(g.c.logger).Log("msg", "A rank was given an order.", "group", g.name, "rank", rank, "kind", o.Kind,
-			"version", o.Version, "step", o.Step, "epoch", o.Epoch, "fence", g.c.fence.Load(), "outcome", a.reply.GetResult(), "direct", a.direct)
+	}
+}
+
+// logOrders logs orders to ranks: one line for those of a kind that were taken, which are many
+// and alike, and one for each that was not.
+func (g *group) logOrders(byRank map[int]mapswitch.Order, answers []answer) {
+	taken := make(map[mapswitch.Order]int)
+	for rank, o := range byRank {
+		a := answers[rank]
+		if a.reply.GetResult() == api.OrderResult_ORDER_TAKEN {
+			o.Rank = 0
+			taken[o]++
+			continue
+		}
+		_ = level.Warn(g.c.logger).Log("msg", "A rank did not take an order.", "group", g.name, "rank", rank, "kind", o.Kind,
+			"version", o.Version, "step", o.Step, "epoch", o.Epoch, "fence", g.c.fence.Load(), "outcome", a.reply.GetResult(),
+			"direct", a.direct, "err", a.err, "result", result.Label(api.ResultCode_CONFLICT))
+	}
+	for o, n := range taken {
+		_ = level.Info(g.c.logger).Log("msg", "Ranks have taken an order.", "group", g.name, "ranks", n, "kind", o.Kind,
+			"version", o.Version, "step", o.Step, "epoch", o.Epoch, "fence", g.c.fence.Load())
 	}
 }
 
--- a/internal/logging/keys.go
+++ b/internal/logging/keys.go
@@ -145,6 +145,7 @@
 	{"agents", "agents of the group"},
 	{"model", "name of the model"},
 	{"rank", "number of the rank"},
+	{"ranks", "how many ranks"},
 	{"epoch", "number of the group's life since its ranks last met"},
 	{"fence", "fencing number of the coordinator that gave the order"},
 	{"step", "step from which the order holds"},
