Let a second request to stop cut nothing on the platform

Cause: after the first SIGTERM the handler is gone, so that an operator is never locked out by a long drain; the platform's own second SIGTERM then ended the process at once, with callers' drafts under way. Change: gateway and rank-agent take further SIGTERMs without effect; the platform ends them by force when its grace period is over, and a second SIGINT ends at once.

--- a/internal/command/daemon/gateway.go
+++ b/internal/command/daemon/gateway.go
@@ -25,12 +25,30 @@
 	return onPlatform("rank-agent", "Run the process beside a model engine, on the users' platform.", serve)
 }
 
+const platformSignals = "\n  Signals:\n" +
+	"    SIGTERM   Stop gracefully: no request is cut. Further ones change nothing.\n" +
+	"    SIGINT    The same; a second one stops at once.\n" +
+	"    SIGHUP    Read the settings again, and log what they say.\n"
+
+// holdOff keeps further signals to stop from ending the process at once, until the returned
+// function is called.
+//
+// Load: the platform asks a process to stop more than once, as when a VM is replaced while its
+// zone is taken down. Harm prevented: the second request to stop cuts what the first one lets
+// come to its end. The platform ends a process by force when the grace period is over; an
+// operator at a terminal has SIGINT.
+func holdOff() func() {
+	further := make(chan os.Signal, 1)
+	signal.Notify(further, syscall.SIGTERM)
+	return func() { signal.Stop(further) }
+}
+
 // onPlatform makes the command of a process whose settings come from the platform, and
 // whose log goes to standard output, as the platform collects it.
 func onPlatform(name, description string, serve func(context.Context, *platform.Settings, log.Logger) error) *cli.Command {
 	least, lines := "info", logging.DefaultLines
 	sub := cli.New(name, description, "apricothub "+name)
-	sub.AdditionalHelpAppend = signals + sub.AdditionalHelpAppend
+	sub.AdditionalHelpAppend = platformSignals + sub.AdditionalHelpAppend
 	sub.String(&least, "l", "log-level", "Least level of the log: debug, info, warn, error or none.")
 	sub.Int(&lines, "n", "log-lines", "Most lines of the log in any second; 40 or more.")
 	return &cli.Command{Sub: sub, Run: func(ctx context.Context, out, _ io.Writer) error {
@@ -46,6 +64,7 @@
 			return cli.Usage("%v.", err)
 		}
 		defer logger.Close()
+		defer holdOff()()
 		watch := func(ctx context.Context) error { return watchSettings(ctx, logger) }
 		return untilSignal(ctx, watch, func(ctx context.Context) error { return serve(ctx, loaded, logger) })
 	}}
--- a/test/gateway_streams_test.go
+++ b/test/gateway_streams_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -164,6 +165,44 @@
 	}
 }
 
+// The platform asks an entry to stop and asks again a moment later, as when two of its parts
+// replace the same VM. A caller that is in the middle of its draft gets it whole.
+func TestAStopThatIsAskedForTwiceCutsNothing(t *testing.T) {
+	t.Parallel()
+	s := &streamer{rng: rand.New(rand.NewPCG(9, 1)), each: 60 * time.Millisecond}
+	world := startSite(t, 1, s.answer)
+	type drafted struct {
+		text  string
+		whole bool
+	}
+	done := make(chan drafted, 1)
+	go func() {
+		text, whole, _ := readDraft(&http.Client{}, world.newBook(), "twice", 1)
+		done <- drafted{text, whole}
+	}()
+	waitFor(t, "the draft has begun", func() bool {
+		for _, server := range world.servers {
+			if len(server.Got()) > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	g := world.gateways[0]
+	for range 3 {
+		g.Signal(syscall.SIGTERM)
+		time.Sleep(100 * time.Millisecond)
+	}
+	if got := <-done; !got.whole || got.text != wholeStream("twice") {
+		t.Errorf("the caller got %q, whole %v", got.text, got.whole)
+	}
+	select {
+	case <-g.Ended():
+	case <-time.After(siteWait):
+		t.Error("the entry has not ended")
+	}
+}
+
 // All entries are replaced one after the other, with drafts under way at each and callers that
 // use their connections on and keep addresses for two seconds. No caller notices: no stream is
 // cut, nothing is refused, no connection fails.
