Listen before an entry makes itself known, and end with any part

The control goroutine and the endpoints began side by side: under load the store was read, readiness published and beaten to the others before the first listener was open. So it was no fault of the test: callers could be sent to an entry that refuses them.

Change: all endpoints are opened before any part runs.

A failed request of these tests now shows the error's text.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	pool        *upstream.Pool
 	metrics     *counters
 	experts     *experts.Coordinator
+	listen      net.ListenConfig
 	socket      *net.UDPConn
 	peerClient  *http.Client
 
@@ -94,6 +95,7 @@
 			retryRatio: s.Bounds.RetryRatio, retrySlack: s.Bounds.RetrySlack,
 		}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		pool:    upstream.NewPool(connectTime),
+		listen:  net.ListenConfig{Control: upstream.SilentLinks, KeepAliveConfig: upstream.KeepAlive()},
 		metrics: counts,
 		peerClient: &http.Client{Transport: &http.Transport{
 			DialContext:       (&net.Dialer{Timeout: connectTime}).DialContext,
@@ -124,6 +126,11 @@
 	if err := g.listenBeats(); err != nil {
 		return err
 	}
+	endpoints, err := g.listenAll()
+	if err != nil {
+		_ = g.socket.Close()
+		return err
+	}
 	s := g.settings
 	_ = level.Info(g.logger).Log("msg", "The process starts.", "failure_domain", s.FailureDomain,
 		"ip", s.IP, "store", s.Store.Address, "seeds", len(s.Seeds))
@@ -141,8 +148,8 @@
 	add(g.meet)
 	add(g.sweep)
 	add(g.experts.Run)
-	group.Add(func() error { return g.serveAll(ctx) }, func(error) { cancel() })
-	err := group.Run()
+	group.Add(func() error { return g.serveAll(ctx, inner, endpoints) }, func(error) { cancel() })
+	err = group.Run()
 	_ = g.socket.Close()
 	_ = level.Info(g.logger).Log("msg", "The process stops.", "uptime_ms", clock.Now().Milliseconds())
 	if errors.Is(err, context.Canceled) {
@@ -232,50 +239,67 @@
 	return used
 }
 
-// serveAll listens on all addresses until ctx ends, and then stops gracefully.
-func (g *Gateway) serveAll(ctx context.Context) error {
-	failed := make(chan error, 1)
-	var servers []*http.Server
+// openEndpoint is an endpoint that takes connections.
+type openEndpoint struct {
+	*http.Server
+	name     string
+	listener net.Listener
+}
+
+// listenAll opens all endpoints; the one for callers comes first.
+//
+// Harm prevented: an entry reads the store, calls itself ready and is named to callers, who
+// find nobody listening. No part of the process runs before this, so nothing of it can be
+// known outside; connections that come before serveAll wait in the listener's queue.
+func (g *Gateway) listenAll() ([]openEndpoint, error) {
+	var opened []openEndpoint
 	for _, e := range g.endpoints() {
-		server, err := g.serve(e, failed)
+		listener, err := g.listen.Listen(context.Background(), "tcp", e.address)
 		if err != nil {
-			return err
-		}
-		servers = append(servers, server)
-	}
-	defer func() {
-		for _, server := range servers {
-			_ = server.Close()
+			for _, o := range opened {
+				_ = o.listener.Close()
+			}
+			return nil, errors.Wrapf(err, "listen for %s", e.name)
 		}
-	}()
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
+		opened = append(opened, openEndpoint{g.newServer(e), e.name, listener})
 	}
-	return g.stop(servers[0])
+	return opened, nil
 }
 
-func (g *Gateway) serve(e endpoint, failed chan<- error) (*http.Server, error) {
-	lc := net.ListenConfig{Control: upstream.SilentLinks, KeepAliveConfig: upstream.KeepAlive()}
-	listener, err := lc.Listen(context.Background(), "tcp", e.address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen for %s", e.name)
-	}
-	server := &http.Server{
+func (g *Gateway) newServer(e endpoint) *http.Server {
+	return &http.Server{
 		Handler: e.handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
 		ErrorLog: logging.Library(logging.Part(g.logger, e.name), "The library for HTTP reports an error.",
 			result.Label(api.ResultCode_INTERNAL)),
 	}
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			select {
-			case failed <- errors.Wrap(err, e.name):
-			default:
-			}
+}
+
+// serveAll serves on all endpoints until ctx ends or another part of the process does, and
+// then stops gracefully.
+//
+// Harm prevented: callers stay with an entry whose control goroutine, or whose socket for
+// beats, has ended: it would serve on for good by what it believed then.
+func (g *Gateway) serveAll(ctx, parts context.Context, endpoints []openEndpoint) error {
+	defer func() {
+		for _, e := range endpoints {
+			_ = e.Close()
 		}
 	}()
-	return server, nil
+	failed := make(chan error, len(endpoints))
+	for _, e := range endpoints {
+		go func() {
+			if err := e.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- errors.Wrap(err, e.name)
+			}
+		}()
+	}
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	case <-parts.Done():
+	}
+	return g.stop(endpoints[0].Server)
 }
 
 const (
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -39,9 +40,17 @@
 
 // start runs a gateway and waits until it is ready.
 func start(t *testing.T, settings *platform.Settings) *entry {
+	t.Helper()
+	e := launch(t, newGateway(settings, log.NewNopLogger()))
+	e.untilReady()
+	return e
+}
+
+// launch runs a gateway until the test ends.
+func launch(t *testing.T, g *Gateway) *entry {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &entry{Gateway: newGateway(settings, log.NewNopLogger()), t: t, cancel: cancel, done: make(chan error, 1)}
+	e := &entry{Gateway: g, t: t, cancel: cancel, done: make(chan error, 1)}
 	go func() { e.done <- e.run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
@@ -51,16 +60,20 @@
 			t.Error("the entry did not stop")
 		}
 	})
+	return e
+}
+
+func (e *entry) untilReady() {
+	e.t.Helper()
 	e.until("the entry is ready", func() bool {
 		select {
 		case err := <-e.done:
-			t.Fatalf("the entry ended with %v", err)
+			e.t.Fatalf("the entry ended with %v", err)
 		default:
 		}
 		v := e.view.Load()
 		return v != nil && v.ready
 	})
-	return e
 }
 
 func (e *entry) until(what string, is func() bool) {
@@ -81,6 +94,11 @@
 	err    error
 }
 
+// String shows what a caller got, with the error's text.
+func (r reply) String() string {
+	return fmt.Sprintf("status %d, header %v, body %q, error %v", r.status, r.header, r.body, r.err)
+}
+
 func (e *entry) ask(method, path, id string, change ...func(*http.Request)) reply {
 	return e.askWith(http.DefaultClient, method, path, id, change...)
 }
