Take the store as away only when nobody has fresh word of it

Its log: the entry's own read of the registrations timed out at 22.19 s. Others had fresh word and read for it from then on, so its next own read did not come; chooseReads cleared the control's note of the failed read, and the registry's own note of the same stayed. When the news of the registration came from another entry at 26.38 s, the registry still took the store as away and kept the server for the two seconds in which servers register again: "A backend server did not register again" at 28.42 s.

Ruled out: late news (all entries had it 0.41 s after the store took it), the entry's clock, a request placed before.

Change: the registry has no belief of its own any more. The store counts as away when this entry's read has failed and neither it nor any entry it hears has word younger than 1.5 s.

Figures: TestAReadThatFailsWhileOthersReadKeepsNoServer red before, green after; TestAnOutageForAllKeepsServers, that a true outage still keeps servers, green before and after.

--- /dev/null
+++ b/internal/gateway/away_test.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/platform"
+	"github.com/apricothub/apricothub/test/fakeplatform"
+)
+
+const registration = `{"service":"app","address":"10.0.0.9:80","zone":"a","concurrency":4,"state":"ready","cold-remaining-ms":0,"sequence":1,"born":1}`
+
+// awayWorld is the control of one entry, in virtual time, with another one whose beats it
+// hears.
+type awayWorld struct {
+	*control
+	other    *api.PeerBeat
+	sequence uint64
+}
+
+func newAwayWorld(t *testing.T) *awayWorld {
+	g := newGateway(settingsFor(fakeplatform.NewStore(t)), log.NewNopLogger())
+	if err := g.listenBeats(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		close(g.stopped)
+		_ = g.socket.Close()
+	})
+	w := &awayWorld{
+		control: newControl(g, log.NewNopLogger(), 0),
+		other:   &api.PeerBeat{Vm: "other", Ip: fakeplatform.OwnIP(), FailureDomain: "a", Incarnation: 1, Serving: true},
+	}
+	w.servers(t, 1, registration, 0)
+	if n := len(w.registry.Entries()); n != 1 {
+		t.Fatalf("%d servers at the start", n)
+	}
+	return w
+}
+
+// servers has the other entry tell what the store holds: one registration, empty when it is
+// gone.
+func (w *awayWorld) servers(t *testing.T, next int64, value string, now time.Duration) {
+	t.Helper()
+	topic := &api.KeyedTopic{Known: true, Next: next}
+	if value != "" {
+		topic.Records = []*api.KeyedRecord{{Key: "i-9", Value: []byte(value), Offset: next - 1}}
+	}
+	w.takeTopic(platform.TopicServers, w.control.servers, topic, now)
+	w.settle(now)
+}
+
+// beat has the other entry say how old its own word of the store is.
+func (w *awayWorld) beat(age, now time.Duration) {
+	w.sequence++
+	b := &api.PeerBeat{
+		Vm: w.other.Vm, Ip: w.other.Ip, FailureDomain: w.other.FailureDomain, Incarnation: 1, Sequence: w.sequence,
+		Serving: true, OperatorsAgeMs: age.Milliseconds(), ServersAgeMs: age.Milliseconds(),
+	}
+	w.peers.Heard(b, now)
+	w.settle(now)
+}
+
+// read is what comes of this entry's own read of the registrations.
+func (w *awayWorld) read(err error, now time.Duration) {
+	w.takeNews(news{topic: platform.TopicServers, err: err, at: now})
+	w.settle(now)
+}
+
+// Callers reach a server two seconds and more after it has left. One read of this entry had
+// failed some time before, while others went on reading and told it all; it took the store as
+// away, never noticed its return, and kept the registration for the time that servers have to
+// register again.
+func TestAReadThatFailsWhileOthersReadKeepsNoServer(t *testing.T) {
+	t.Parallel()
+	w := newAwayWorld(t)
+	now := 10 * time.Second
+	w.beat(200*msec, now)
+	w.read(errors.New("the connection has gone silent"), now+100*msec)
+	for range 20 {
+		now += 200 * msec
+		w.beat(300*msec, now)
+	}
+	w.servers(t, 3, "", now)
+	if n := len(w.registry.Entries()); n != 0 {
+		t.Error("the server that has left gets work")
+	}
+}
+
+// The store is away for all. The registrations of living servers lapse meanwhile, and must be
+// kept until the servers have had time to register again, whoever reads the store first.
+func TestAnOutageForAllKeepsServers(t *testing.T) {
+	t.Parallel()
+	for name, back := range map[string]func(w *awayWorld, now time.Duration){
+		"this entry reads it first": func(w *awayWorld, now time.Duration) { w.read(nil, now) },
+		"the other reads it first":  func(w *awayWorld, now time.Duration) { w.beat(0, now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newAwayWorld(t)
+			now := 10 * time.Second
+			for age := time.Duration(0); age < 8*time.Second; age += 200 * msec {
+				now += 200 * msec
+				w.beat(age, now)
+				w.read(errors.New("down"), now)
+			}
+			now += 200 * msec
+			back(w, now)
+			w.servers(t, 3, "", now+10*msec)
+			w.settle(now + 1900*msec)
+			if n := len(w.registry.Entries()); n != 1 {
+				t.Fatal("the server had no time to register again")
+			}
+			w.settle(now + 2100*msec)
+			if n := len(w.registry.Entries()); n != 0 {
+				t.Error("the server did not register again and gets work")
+			}
+		})
+	}
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -121,7 +121,9 @@
 	if n.topic == platform.TopicServers {
 		table = c.servers
 		c.serversAway = n.err != nil
-		c.registry.Reachable(n.err == nil, n.at)
+		if n.err == nil {
+			c.registry.Reachable(true, n.at)
+		}
 	}
 	if n.err != nil {
 		return
@@ -214,6 +216,7 @@
 	}
 	live := c.peers.Live(now)
 	c.logLive(live)
+	c.registry.Reachable(!c.storeAway(live, now), now)
 	c.changed = c.changed || len(live)+1 != c.live
 	if c.changed && c.table != nil {
 		c.changed = false
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -37,6 +37,19 @@
 	c.g.reads.Store(reads)
 }
 
+// storeAway says that the store answers nobody, so that registrations may lapse although their
+// servers live.
+//
+// Load: a read of this entry that fails while others read, as when its connection goes silent
+// or the store turns it away. Harm prevented: the entry takes the store as away, perhaps for
+// long after others have begun to read for it, and goes on sending to servers that have left.
+// A read that fails counts only once nobody has fresh word, which is long before the first
+// registration can lapse.
+func (c *control) storeAway(live []*api.PeerBeat, now time.Duration) bool {
+	_, servers := freshest(live)
+	return c.serversAway && min(servers, now-c.serversAt) > freshFor
+}
+
 // freshest returns the ages of the newest word that a live entry has from the store itself.
 func freshest(live []*api.PeerBeat) (operators, servers time.Duration) {
 	operators, servers = time.Hour, time.Hour
