Share what a cold server bears among all entries that may live

Each gateway takes the part of one of those that it hears: after a start nobody, so that each took itself for the only one; a frozen one was given up after 1.2 s, its part given to the others, and it woke with its own. Each start also began with a whole burst.

Ruled out: requests placed before and sent late (the excess grows with the number of gateways, and in the frozen case is what the one awake may send alone).

Change: decide/arrivals holds an entry's share: it begins empty, is emptied after a standstill, and sets one part of the rate aside for an entry that has just come. peering.MayLive counts entries that went silent without a word and those only learned of. A new process serves nothing until the store has told which entries there are, or for 0.5 s. The budget of retries and connections go by the same count.

--- a/coord/peering/peering.go
+++ b/coord/peering/peering.go
@@ -28,6 +28,9 @@
 	BeatsPerSecond float64
 	// Probe is the time between two beats to an entry that is silent. Default 1 s.
 	Probe time.Duration
+	// Unheard is how long an entry that was learned of and has never been heard may be taken
+	// as living. Default 2 s: two probes, and time for their answers.
+	Unheard time.Duration
 	// Forget is the silence after which an entry is no longer sent to. Default 60 s. One
 	// that comes back later makes itself known.
 	Forget time.Duration
@@ -42,6 +45,7 @@
 	set(&c.Silent, 1200*time.Millisecond)
 	set(&c.Beat, 150*time.Millisecond)
 	set(&c.Probe, time.Second)
+	set(&c.Unheard, 2*time.Second)
 	set(&c.Forget, time.Minute)
 	if c.BeatsPerSecond == 0 {
 		c.BeatsPerSecond = 60
@@ -127,6 +131,29 @@
 	return beats
 }
 
+// MayLive returns the number of other entries that may be at work, by what is known: those
+// that are heard, those that have gone silent without a word, until they are forgotten, and
+// those that were learned of and have not had the time to answer.
+//
+// Load: entries that are frozen, or are not heard for a while, and work on; entries that have
+// all just started. Harm prevented: the others share out among themselves what a silent one
+// still takes, and a server that bears little gets more than all together may send. An entry
+// that says it is leaving and then goes silent is gone.
+func (t *Table) MayLive(now time.Duration) int {
+	n := 0
+	for _, p := range t.peers {
+		switch {
+		case t.live(p, now):
+			n++
+		case p.beat == nil && now-p.known <= t.cfg.Unheard:
+			n++
+		case p.beat != nil && !p.beat.GetLeaving() && now-p.heard <= t.cfg.Forget:
+			n++
+		}
+	}
+	return n
+}
+
 // Coordinator returns the IP of the entry that is to coordinate, out of this one and the
 // live ones; empty when none serves. All entries that hear the same beats find the same one.
 //
--- a/coord/peering/peering_test.go
+++ b/coord/peering/peering_test.go
@@ -135,3 +135,29 @@
 		}
 	}
 }
+
+// Three entries share what a cold server bears. One is frozen and will wake, one is killed and
+// one leaves by plan. Who counts the frozen one out gives its part to others, and both send;
+// who goes on counting the one that has left serves its callers less than it could.
+func TestSilentEntriesMayLive(t *testing.T) {
+	table := New("10.0.0.1", Config{})
+	if n := table.MayLive(0); n != 0 {
+		t.Fatalf("%d others at the start", n)
+	}
+	table.Learn("10.0.0.2", 0)
+	table.Learn("10.0.0.9", 0)
+	if n := table.MayLive(2 * time.Second); n != 2 {
+		t.Errorf("%d others may live before they had time to answer, want 2", n)
+	}
+	table.Heard(beat("10.0.0.2", 1, 1), 2*time.Second)
+	leaving := beat("10.0.0.3", 1, 1)
+	leaving.Leaving = true
+	table.Heard(leaving, 2*time.Second)
+	for at, want := range map[time.Duration]int{
+		2001 * msec: 2, 3200 * msec: 2, 3201 * msec: 1, 62 * time.Second: 1, 62*time.Second + msec: 0,
+	} {
+		if n := table.MayLive(at); n != want {
+			t.Errorf("%d others may live after %v, want %d", n, at, want)
+		}
+	}
+}
--- /dev/null
+++ b/decide/arrivals/arrivals_test.go
@@ -0,0 +1,145 @@
+package arrivals
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const msec = time.Millisecond
+
+// siteBound is the bound of a model server of the first users.
+var siteBound = Bound{Rate: 36, Over: 1.5, Slack: 5}
+
+// bounds are of sites that differ in what they allow beyond the rate.
+var bounds = []Bound{siteBound, {Rate: 20, Over: 1.5, Slack: 5}, {Rate: 10, Over: 1.5, Slack: 50}}
+
+func (b Bound) most() float64 { return b.Rate*b.Over + b.Slack }
+
+// world is a number of entries that press for one server with all they may.
+type world struct {
+	bound  Bound
+	shares []*Share
+	// asleep are the entries that stand still.
+	asleep map[int]bool
+	// pressFrom is when callers come; until then the entries only look.
+	pressFrom time.Duration
+	sent      []time.Duration
+}
+
+func newWorld(b Bound, entries int) *world {
+	w := &world{bound: b, asleep: map[int]bool{}}
+	for range entries {
+		w.shares = append(w.shares, NewShare(b, entries, 0))
+	}
+	return w
+}
+
+func (w *world) run(from, to time.Duration, at func(now time.Duration)) {
+	for now := from; now < to; now += 2 * msec {
+		at(now)
+		for i, s := range w.shares {
+			if w.asleep[i] {
+				continue
+			}
+			s.Look(now)
+			for now >= w.pressFrom && s.Allow(now) {
+				w.sent = append(w.sent, now)
+			}
+		}
+	}
+}
+
+// busiest is the most that was sent in any one second.
+func (w *world) busiest() int {
+	most, first := 0, 0
+	for last := range w.sent {
+		for w.sent[last]-w.sent[first] >= time.Second {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// A cold server gets all the callers of its service through all entries. In no second may it
+// get more than it bears, and it gets most of its rate, so that callers are served: in a calm,
+// when all entries are killed and started again and again, when one more comes of which the
+// others hear late, and when one sleeps for so long that the others share its part. Callers
+// press all the time, or come in the moment after which all shares were saved up.
+func TestTheBoundHoldsOverAllEntries(t *testing.T) {
+	const whole = 10 * time.Second
+	events := map[string]func(w *world, now time.Duration){
+		"calm": func(*world, time.Duration) {},
+		"all are killed each 240 ms": func(w *world, now time.Duration) {
+			if now > 0 && now%(240*msec) == 0 {
+				for i := range w.shares {
+					w.shares[i] = NewShare(w.bound, len(w.shares), now)
+				}
+			}
+		},
+		"one more comes, and the others hear of it 200 ms later": func(w *world, now time.Duration) {
+			n := len(w.shares)
+			switch now {
+			case 4 * time.Second:
+				w.shares = append(w.shares, NewShare(w.bound, n+1, now))
+			case 4*time.Second + 200*msec:
+				for _, s := range w.shares {
+					s.Set(w.bound, n, now)
+				}
+			}
+		},
+		"one sleeps, is no longer counted, and is heard 100 ms after it wakes": func(w *world, now time.Duration) {
+			n := len(w.shares)
+			switch now {
+			case 1 * time.Second:
+				w.asleep[0] = true
+			case 3 * time.Second:
+				for _, s := range w.shares[1:] {
+					s.Set(w.bound, max(n-1, 1), now)
+				}
+			case 6 * time.Second:
+				w.asleep[0] = false
+			case 6*time.Second + 100*msec:
+				for _, s := range w.shares[1:] {
+					s.Set(w.bound, n, now)
+				}
+			}
+		},
+	}
+	for name, event := range events {
+		for _, b := range bounds {
+			for _, entries := range []int{1, 2, 3, 4, 5, 8, 12} {
+				for _, from := range []time.Duration{0, 4 * time.Second, 6 * time.Second} {
+					t.Run(fmt.Sprintf("%s, %d entries, rate %v, callers from %v on", name, entries, b.Rate, from), func(t *testing.T) {
+						w := newWorld(b, entries)
+						w.pressFrom = from
+						w.run(0, whole, func(now time.Duration) { event(w, now) })
+						if n := w.busiest(); float64(n) > b.most() {
+							t.Errorf("%d requests within a second, %v at most", n, b.most())
+						}
+						if least := 0.7 * b.Rate * (whole - from).Seconds(); float64(len(w.sent)) < least && name == "calm" {
+							t.Errorf("only %d requests in all, %v at least", len(w.sent), least)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// A bound that an operator lowers, and one that is raised, hold from the next request on.
+func TestTheBoundChanges(t *testing.T) {
+	w := newWorld(siteBound, 4)
+	low := Bound{Rate: 8, Over: 1, Slack: 0}
+	w.run(0, 3*time.Second, func(time.Duration) {})
+	for _, s := range w.shares {
+		s.Set(low, 4, 3*time.Second)
+	}
+	w.sent = nil
+	w.run(3*time.Second, 8*time.Second, func(time.Duration) {})
+	// One request of each entry goes out at once, whatever is spared.
+	if n := w.busiest(); float64(n) > low.most()+4 {
+		t.Errorf("%d requests within a second, %v at most", n, low.most()+4)
+	}
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -70,7 +70,11 @@
 	askedAt     time.Duration
 	asking      bool
 	sequence    uint64
-	live        int
+	census      census
+	// met says that the entries that ever were are known, by the store; started is when this
+	// process did.
+	met     bool
+	started time.Duration
 	// heard are the VMs of the entries that live.
 	heard map[string]bool
 }
@@ -80,7 +84,7 @@
 		g: g, logger: logger,
 		operators: keyed.New(), servers: keyed.New(),
 		registry: registry.New(), peers: peering.New(g.settings.IP, peering.Config{}),
-		out: make(map[string]bool), live: 1,
+		out: make(map[string]bool), started: now,
 	}
 	for _, seed := range g.settings.Seeds {
 		c.peers.Learn(seed, now)
@@ -104,8 +108,11 @@
 			c.takeState(s)
 		case ask := <-c.g.stateRequests:
 			ask.reply <- c.state(ask)
-		case ip := <-c.g.learned:
-			c.peers.Learn(ip, clock.Now())
+		case ips := <-c.g.learned:
+			for _, ip := range ips {
+				c.peers.Learn(ip, clock.Now())
+			}
+			c.met = true
 		case <-c.g.leave:
 			c.urgent = true
 			c.g.leave = nil
@@ -217,11 +224,12 @@
 	live := c.peers.Live(now)
 	c.logLive(live)
 	c.registry.Reachable(!c.storeAway(live, now), now)
-	c.changed = c.changed || len(live)+1 != c.live
-	if c.changed && c.table != nil {
+	n := census{live: len(live) + 1, mayLive: c.peers.MayLive(now) + 1}
+	c.changed = c.changed || n != c.census
+	if c.changed && c.inForce(now) != nil {
 		c.changed = false
-		c.live = len(live) + 1
-		c.g.fleet.set(c.registry.Entries(), c.out, c.table, c.live, now)
+		c.census = n
+		c.g.fleet.set(c.registry.Entries(), c.out, c.table, n, now)
 	}
 	c.g.fleet.setOthers(othersOf(live), c.pacesOf(live), now)
 	c.publish(live, now)
@@ -231,6 +239,22 @@
 	c.beat(live, now)
 }
 
+// meetTime is how long a new process waits at most for the store to tell which entries there
+// are. Within three beats of the others it has heard of each: a beat names eight.
+const meetTime = 500 * time.Millisecond
+
+// inForce returns the configuration to serve by, nil for none yet.
+//
+// Load: all entries are killed at once and start again. Harm prevented: each takes itself for
+// the only one and sends the whole of what all may, to servers that bear little, in retries
+// and in connections. It serves nothing until it knows which entries there may be.
+func (c *control) inForce(now time.Duration) *routing.Table {
+	if !c.met && now-c.started < meetTime {
+		return nil
+	}
+	return c.table
+}
+
 // logLive logs the entries that are heard of from now on, and those that have gone silent.
 func (c *control) logLive(live []*api.PeerBeat) {
 	same := len(live) == len(c.heard)
@@ -285,9 +309,10 @@
 
 // publish makes the view that traffic goes by.
 func (c *control) publish(live []*api.PeerBeat, now time.Duration) {
-	ready := c.table != nil && !c.g.leaving.Load() && c.g.fleet.usable()
+	table := c.inForce(now)
+	ready := table != nil && !c.g.leaving.Load() && c.g.fleet.usable()
 	v := &view{
-		table: c.table, entries: len(live) + 1, ready: ready,
+		table: table, entries: len(live) + 1, ready: ready,
 		configAt: c.operatorsAt, serversAt: c.serversAt,
 	}
 	for _, b := range live {
@@ -300,7 +325,7 @@
 	for _, b := range live {
 		v.followed = v.followed || b.GetFence() > self.GetFence()
 	}
-	if c.table != nil && (v.coordinates || self.GetFence() != 0) {
+	if table != nil && (v.coordinates || self.GetFence() != 0) {
 		v.engines = c.engines()
 	}
 	if ready {
@@ -308,7 +333,7 @@
 	}
 	old := c.g.view.Load()
 	if old == nil || old.ready != ready {
-		_ = level.Info(c.logger).Log("msg", "Readiness has changed.", "ready", ready, "config_known", c.table != nil,
+		_ = level.Info(c.logger).Log("msg", "Readiness has changed.", "ready", ready, "config_known", table != nil,
 			"leaving", c.g.leaving.Load(), "servers_usable", c.g.fleet.usable())
 		c.urgent = true
 	}
--- a/internal/gateway/fate.go
+++ b/internal/gateway/fate.go
@@ -89,7 +89,7 @@
 		b = &place.RetryBudget{Ratio: f.bounds.retryRatio * retryShare}
 		f.budgets[service] = b
 	}
-	// What all entries may save up together is shared out among those that live.
-	b.Reserve = max(1, f.bounds.retrySlack*retryShare/float64(f.entries))
+	// What all entries may save up together is shared out among those that may live.
+	b.Reserve = max(1, f.bounds.retrySlack*retryShare/float64(f.mayLive))
 	return b
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -8,11 +8,11 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/time/rate"
 
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/coord/registry"
 	"github.com/apricothub/apricothub/decide/admit"
+	"github.com/apricothub/apricothub/decide/arrivals"
 	"github.com/apricothub/apricothub/decide/eject"
 	"github.com/apricothub/apricothub/decide/place"
 	"github.com/apricothub/apricothub/internal/experts"
@@ -48,8 +48,9 @@
 	judge   *eject.Judge
 	servers map[string]*server
 	budgets map[string]*place.RetryBudget
-	// entries is the number of live entries, this one included.
-	entries int
+	// entries is the number of live entries, mayLive that of those that may be at work, this
+	// one included.
+	entries, mayLive int
 
 	admitter *admit.Admitter
 	waiting  map[uint64]*waiter
@@ -82,7 +83,7 @@
 	pace   float64
 	closed bool
 	// arrivals bounds the requests a second; nil where there is no bound.
-	arrivals *rate.Limiter
+	arrivals *arrivals.Share
 }
 
 func newFleet(b bounds, rng *rand.Rand) *fleet {
@@ -94,6 +95,7 @@
 		servers:  make(map[string]*server),
 		budgets:  make(map[string]*place.RetryBudget),
 		entries:  1,
+		mayLive:  1,
 		admitter: admit.New(admit.Config{Queue: mostWaiting, MaxWait: longestWait, MostRetry: comeBackMost}),
 		waiting:  make(map[uint64]*waiter),
 		running:  make(map[string]int),
@@ -107,12 +109,19 @@
 
 func offer(service string) string { return "service:" + service }
 
+// census is how many entries there are, this one included.
+type census struct {
+	// live are heard, mayLive are at work for all that is known.
+	live, mayLive int
+}
+
 // set replaces the backend servers, with the failure domains that operators have taken out
-// and the number of live entries.
-func (f *fleet) set(entries []registry.Entry, out map[string]bool, cfg *routing.Table, live int, now time.Duration) {
+// and the number of entries.
+func (f *fleet) set(entries []registry.Entry, out map[string]bool, cfg *routing.Table, n census, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.entries = max(live, 1)
+	f.entries = max(n.live, 1)
+	f.mayLive = max(n.mayLive, f.entries)
 	f.setTeams(cfg)
 	f.registered = make(map[string]int)
 	for service := range f.rooms {
@@ -137,7 +146,7 @@
 		}
 		s.Server = e.Server
 		s.service = service
-		f.boundArrivals(s)
+		f.boundArrivals(s, now)
 		f.servers[e.ID] = s
 		weight := 1.0
 		if e.Draining || out[e.FailureDomain] {
@@ -158,24 +167,17 @@
 // and their work comes to it. Harm prevented: it falls over. The bound is for all entries
 // together; each keeps to its part without asking, and does so also while the server is
 // taken as warm, since what a server says of itself is late.
-func (f *fleet) boundArrivals(s *server) {
+func (f *fleet) boundArrivals(s *server, now time.Duration) {
 	if s.service.ColdRate <= 0 {
 		s.arrivals = nil
 		return
 	}
-	n := float64(f.entries)
-	limit := rate.Limit(s.service.ColdRate / n)
-	// In any one second at most limit and burst arrive; what the bound allows beyond the
-	// rate is shared out as burst.
-	burst := max(1, int((s.service.ColdRate*(f.bounds.coldOver-1)+f.bounds.coldSlack)/n))
+	bound := arrivals.Bound{Rate: s.service.ColdRate, Over: f.bounds.coldOver, Slack: f.bounds.coldSlack}
 	if s.arrivals == nil {
-		s.arrivals = rate.NewLimiter(limit, burst)
+		s.arrivals = arrivals.NewShare(bound, f.mayLive, now)
 		return
 	}
-	if s.arrivals.Limit() != limit {
-		s.arrivals.SetLimit(limit)
-		s.arrivals.SetBurst(burst)
-	}
+	s.arrivals.Set(bound, f.mayLive, now)
 }
 
 // setOthers takes the work of the other entries by server, and the servers that are slow.
@@ -219,6 +221,9 @@
 		}
 	}
 	for id, s := range f.servers {
+		if s.arrivals != nil {
+			s.arrivals.Look(now)
+		}
 		f.table.Report(id, now, place.Report{
 			Limit: s.limit(), FullLimit: s.Concurrency, Running: s.own + s.others, WorkTime: s.work,
 		})
@@ -257,7 +262,7 @@
 			return placement{}, code
 		}
 		s := f.servers[id]
-		if s.arrivals != nil && !s.arrivals.AllowN(epoch.Add(now), 1) {
+		if s.arrivals != nil && !s.arrivals.Allow(now) {
 			avoid = append(avoid, id)
 			cold = true
 			continue
@@ -268,9 +273,6 @@
 	}
 }
 
-// epoch makes moments of times since the process started, for the rate limiter.
-var epoch = time.Unix(0, 0)
-
 // load is one server with this entry's requests there.
 type load struct {
 	id       string
@@ -298,7 +300,7 @@
 	if s == nil || s.service.MaxConnections == 0 {
 		return 0
 	}
-	return max(1, s.service.MaxConnections/f.entries)
+	return max(1, s.service.MaxConnections/f.mayLive)
 }
 
 // usable says whether any backend server may get work.
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -41,7 +41,7 @@
 		rng = rand.New(rand.NewPCG(seed[0], 1))
 	}
 	f := newFleet(bounds{coldOver: 1.5, coldSlack: 5, retryRatio: 0.2, retrySlack: 92}, rng)
-	f.set(entries(n, concurrency), nil, service(coldRate), live, 0)
+	f.set(entries(n, concurrency), nil, service(coldRate), census{live, live}, 0)
 	return f
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,7 @@
 	beats         chan *api.PeerBeat
 	states        chan fetched
 	stateRequests chan stateRequest
-	learned       chan string
+	learned       chan []string
 	leave         chan struct{}
 	// stopped is closed when the process ends.
 	stopped chan struct{}
@@ -105,7 +105,7 @@
 		beats:         make(chan *api.PeerBeat, beatRoom),
 		states:        make(chan fetched),
 		stateRequests: make(chan stateRequest),
-		learned:       make(chan string),
+		learned:       make(chan []string),
 		leave:         make(chan struct{}),
 		stopped:       make(chan struct{}),
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -179,8 +179,9 @@
 		if !written {
 			written = g.writeMember(ctx)
 		}
+		read := g.readMembers(ctx)
 		wait = membersEach
-		if !written || !g.readMembers(ctx) {
+		if !written || !read {
 			wait = retryMost
 		}
 	}
@@ -206,15 +207,16 @@
 			"result", result.Label(api.ResultCode_LOG_UNAVAILABLE))
 		return false
 	}
+	var ips []string
 	for _, r := range listing.Records {
-		if net.ParseIP(string(r.Value)) == nil {
-			continue
-		}
-		select {
-		case g.learned <- string(r.Value):
-		case <-ctx.Done():
-			return false
+		if net.ParseIP(string(r.Value)) != nil {
+			ips = append(ips, string(r.Value))
 		}
 	}
-	return true
+	select {
+	case g.learned <- ips:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
--- a/test/fakeplatform/server.go
+++ b/test/fakeplatform/server.go
@@ -120,6 +120,9 @@
 	}
 }
 
+// ID is the name under which the server is registered.
+func (f *Server) ID() string { return f.place.ID }
+
 // Address is where the server listens.
 func (f *Server) Address() string { return f.listener.Addr().String() }
 
--- a/test/fakeplatform/store.go
+++ b/test/fakeplatform/store.go
@@ -162,11 +162,26 @@
 	}
 }
 
+// Service is one service of the configuration that tests write.
+type Service struct {
+	Name       string `json:"name"`
+	HealthPath string `json:"health-path"`
+	// ColdPerS is the number of requests a second that a cold backend server bears, ColdStartS
+	// how long it stays cold.
+	ColdPerS   float64 `json:"cold-per-s,omitempty"`
+	ColdStartS float64 `json:"cold-start-s,omitempty"`
+}
+
 // Configure publishes a configuration with one service, app, and one team, north.
 func (s *Store) Configure(version int, routes []Route, keys ...string) {
+	s.ConfigureServices(version, []Service{{Name: "app", HealthPath: "/healthz"}}, routes, keys...)
+}
+
+// ConfigureServices publishes a configuration with services and one team, north.
+func (s *Store) ConfigureServices(version int, services []Service, routes []Route, keys ...string) {
 	cfg, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes,
-		"services": []map[string]any{{"name": "app", "health-path": "/healthz"}},
+		"services": services,
 		"limits":   map[string]any{"max-body-bytes": 1 << 20},
 		"tenants":  []map[string]any{{"name": "north", "api-keys": keys}},
 	})
