Prove one map in every pass with gateways and rank agents as processes

Cause: docs/PROOFS.md had it as not proved: the switch was tried in a simulation, in one process on sockets and by the model, never with coordinators that are killed, frozen past the silence after which another one follows, and stopped, beside rank agents that are.

Change: the stand-in of a lock-step group moves from the tests of internal/experts to test/fakeplatform, for both.

--- a/test/fakeplatform/server.go
+++ b/test/fakeplatform/server.go
@@ -72,9 +72,13 @@
 
 // Register registers a backend server anew, in a state such as ready or draining.
 func (s *Store) Register(f *Server, state string) {
-	s.Put(platform.TopicServers, f.place.ID, fmt.Sprintf(
-		`{"service":"app","address":"%s","zone":"%s","concurrency":%d,"state":"%s","cold-remaining-ms":0,"sequence":1,"born":1}`,
-		f.listener.Addr(), f.place.FailureDomain, f.place.Concurrency, state))
+	s.registerAs("app", f.place.ID, f.listener.Addr().String(), f.place, state)
+}
+
+func (s *Store) registerAs(service, id, address string, place Place, state string) {
+	s.Put(platform.TopicServers, id, fmt.Sprintf(
+		`{"service":"%s","address":"%s","zone":"%s","concurrency":%d,"state":"%s","cold-remaining-ms":0,"sequence":1,"born":1}`,
+		service, address, place.FailureDomain, place.Concurrency, state))
 }
 
 func (f *Server) handle(conn net.Conn) {
--- a/test/fakeplatform/settings.go
+++ b/test/fakeplatform/settings.go
@@ -51,12 +51,43 @@
 	Seeds []string
 }
 
+// RankAgent is what the settings of the process beside an engine say.
+type RankAgent struct {
+	VM, FailureDomain string
+	// Engine is the engine's address, whose IP is the VM's.
+	Engine string
+	// Store is the address of the platform's store.
+	Store string
+}
+
+// WriteSettings writes the settings file of a rank agent, and returns the environment variable
+// that names it to the process.
+func (a RankAgent) WriteSettings(report harness.Reporter, dir string) string {
+	report.Helper()
+	ip, _, err := net.SplitHostPort(a.Engine)
+	if err != nil {
+		report.Fatalf("settings: %v", err)
+	}
+	return writeSettings(report, dir, a.VM, fmt.Sprintf(`node-name=%s
+ip=%s
+zone=%s
+internal-ports=%d
+platform.address=%s
+app=%s
+`, a.VM, ip, a.FailureDomain, PortPeers, a.Store, a.Engine))
+}
+
 // WriteSettings writes the settings file of an entry, and returns the environment variable
 // that names it to the process.
 func (e Entry) WriteSettings(report harness.Reporter, dir string) string {
 	report.Helper()
-	path := filepath.Join(dir, e.VM+".settings")
-	if err := os.WriteFile(path, []byte(e.settings()), 0o600); err != nil {
+	return writeSettings(report, dir, e.VM, e.settings())
+}
+
+func writeSettings(report harness.Reporter, dir, vm, text string) string {
+	report.Helper()
+	path := filepath.Join(dir, vm+".settings")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		report.Fatalf("settings: %v", err)
 	}
 	return "APRICOTHUB_CONFIG=" + path
--- a/test/fakeplatform/store.go
+++ b/test/fakeplatform/store.go
@@ -170,6 +170,20 @@
 	// how long it stays cold.
 	ColdPerS   float64 `json:"cold-per-s,omitempty"`
 	ColdStartS float64 `json:"cold-start-s,omitempty"`
+	// Engine is what its engines are like; nil for a service without.
+	Engine *EngineShape `json:"engine,omitempty"`
+}
+
+// EngineShape is what the configuration says of the engines of a service.
+type EngineShape struct {
+	Concurrency   int     `json:"concurrency"`
+	Sets          int     `json:"sets"`
+	Experts       int     `json:"experts"`
+	Places        int     `json:"places"`
+	Spare         int     `json:"spare"`
+	Stride        int     `json:"stride"`
+	ExpertMB      float64 `json:"expert-mb"`
+	BandwidthMbps float64 `json:"bandwidth-mbps"`
 }
 
 // Configure publishes a configuration with one service, app, and one team, north.
