Make the lines that tell of missing lines readable, and count them

Cause: the line of the ring ("since nobody read them") was written as plain text: it had no time and no VM, its key was in no vocabulary and hidden from the test of keys.

Change: both lines go through the sink of all others, with `self`; `unread` is a word of the vocabulary. explain counts what the bound tells, what sentences tell where that is more (both tell of the same lines), and what nobody read.

--- a/internal/command/explain/explain.go
+++ b/internal/command/explain/explain.go
@@ -65,6 +65,6 @@
 // notFound says why a request may not be in the logs.
 func notFound(s *explain.Story) error {
 	return errors.Errorf("no line names the request %s, of %d that were read and %d that could not be. "+
-		"The logs say that %d lines about requests were left out; of requests that went well only a sample is logged",
+		"The logs say that %d lines were left out; of requests that went well only a sample is logged",
 		s.Request, s.Read, s.Unread, s.LeftOut)
 }
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -80,3 +81,12 @@
 	}
 	return ""
 }
+
+// number returns the number that a key holds; zero when the line has none there.
+func (l *Line) number(key string) int64 {
+	n, err := strconv.ParseInt(l.field(key), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -33,7 +33,8 @@
 	Lines []Line
 	// Around are lines about the state of the processes that served it.
 	Around []Line
-	// LeftOut counts the lines about requests that all these logs say were left out.
+	// LeftOut counts the lines about requests that all these logs say were left out, and
+	// those of any kind that nobody read.
 	LeftOut int64
 	// Read counts the lines that were read, Unread those that could not be.
 	Read, Unread int
@@ -44,6 +45,10 @@
 type Reader struct {
 	story  Story
 	states map[string]*states
+	// bySentence and byBound are lines about requests that were left out, by what the next
+	// line of each sentence says and by what the bound itself does; unread those of any kind
+	// that nobody read.
+	bySentence, byBound, unread int64
 }
 
 // states are a process's lines about itself, near to the request or to the line read last.
@@ -95,7 +100,7 @@
 	}
 	digits, _, _ := bytes.Cut(bytes.TrimSpace(after), []byte(" "))
 	if n, err := strconv.ParseInt(string(digits), 10, 64); err == nil {
-		r.story.LeftOut += n
+		r.bySentence += n
 	}
 }
 
@@ -122,6 +127,8 @@
 		s.last = l.At
 		r.story.Lines = append(r.story.Lines, l)
 	case "":
+		r.byBound += l.number(logging.Served.String()) + l.number(logging.Failed.String())
+		r.unread += l.number(logging.UnreadKey)
 		s.keep(l)
 	}
 }
@@ -148,6 +155,8 @@
 // Story returns what was gathered.
 func (r *Reader) Story() *Story {
 	story := r.story
+	// Both tell of the same lines, and neither of those left out last.
+	story.LeftOut = max(r.bySentence, r.byBound) + r.unread
 	byTime := func(a, b Line) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.order, b.order)) }
 	slices.SortFunc(story.Lines, byTime)
 	if len(story.Lines) == 0 {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -81,9 +81,9 @@
 
 // logServed logs a request whose caller has the answer of a backend server. One that was
 // late, or took more than one attempt, is told apart, since it has a cause to be found.
-func (g *Gateway) logServed(t *task, s placement) {
+func (g *Gateway) logServed(t *task, s placement, late bool) {
 	switch {
-	case t.late():
+	case late:
 		_ = level.Warn(g.logger).Log(line(t, "A request was served late.", func() [][]any {
 			return [][]any{serverFields(s), t.times(), g.inputs(t), g.roomFields(t)}
 		})...)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -275,7 +275,8 @@
 // served counts and logs a request whose caller has the answer of a backend server.
 func (g *Gateway) served(t *task, server placement) {
 	g.metrics.served.Inc(1)
-	if t.late() {
+	late := t.late()
+	if late {
 		g.metrics.late.Inc(1)
 	}
 	g.metrics.took.Update(t.elapsed().Milliseconds())
@@ -284,7 +285,7 @@
 		g.metrics.first.Update((t.out.firstAt - t.arrived).Milliseconds())
 	}
 	g.metrics.ended(t.route.Kind.String(), t.team, true)
-	g.logServed(t, server)
+	g.logServed(t, server, late)
 }
 
 // refuse answers with a result of the system's own.
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -1,19 +1,20 @@
 package logging
 
 import (
+	"bytes"
 	"io"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 )
 
 const (
-	// asyncLines is the number of lines that wait to be written: some seconds of a busy
+	// MostWaiting is the number of lines that wait to be written at most: some seconds of a busy
 	// process.
-	asyncLines = 4096
+	MostWaiting = 4096
 	// asyncBatch is the most bytes written at once.
 	asyncBatch = 64 << 10
 )
@@ -25,7 +26,9 @@
 // prevented: each request waits for its log line, and in the end all of them for nobody.
 // How many lines were left out is told in a line once there is room again.
 type Async struct {
-	w       io.Writer
+	w io.Writer
+	// self is the VM whose process writes; empty for one that does not say.
+	self    string
 	lines   chan []byte
 	dropped atomic.Int64
 	// unread counts the lines left out since the process started.
@@ -35,12 +38,12 @@
 	done    chan struct{}
 }
 
-// NewAsync returns a writer that passes lines on to w.
-func NewAsync(w io.Writer) *Async { return newAsync(w, asyncLines) }
+// NewAsync returns a writer that passes the lines of the process on a VM on to w.
+func NewAsync(w io.Writer, self string) *Async { return newAsync(w, self, MostWaiting) }
 
-func newAsync(w io.Writer, lines int) *Async {
+func newAsync(w io.Writer, self string, lines int) *Async {
 	a := &Async{
-		w: w, lines: make(chan []byte, lines), closing: make(chan struct{}), done: make(chan struct{}),
+		w: w, self: self, lines: make(chan []byte, lines), closing: make(chan struct{}), done: make(chan struct{}),
 		unread: metrics.GetOrRegisterCounter("log.dropped.unread", metrics.DefaultRegistry),
 	}
 	go a.run()
@@ -93,10 +96,20 @@
 	}
 }
 
+// leftOut is the line that tells how many were left out. It goes past the bound and the ring,
+// which have no room for it when it matters.
+func (a *Async) leftOut(n int64) []byte {
+	var line bytes.Buffer
+	// A buffer takes all that is written to it.
+	_ = level.Warn(newSink(&line)).Log(PartKey, "logging", SelfKey, a.self,
+		MessageKey, "Lines were left out, since nobody read them.", UnreadKey, n)
+	return line.Bytes()
+}
+
 // write writes a line with those that wait behind it, at one go.
 func (a *Async) write(line []byte) {
 	if n := a.dropped.Swap(0); n > 0 {
-		line = append(line, "part=logging level=warn msg=\"Lines were left out, since nobody read them.\" dropped="+strconv.FormatInt(n, 10)+"\n"...)
+		line = append(line, a.leftOut(n)...)
 	}
 	for len(line) < asyncBatch {
 		select {
--- a/internal/logging/async_test.go
+++ b/internal/logging/async_test.go
@@ -31,7 +31,7 @@
 	// A few lines fill a batch, so that most of them find no room.
 	line := []byte(strings.Repeat("x", asyncBatch/4-1) + "\n")
 	out := &stuck{let: make(chan struct{})}
-	a := newAsync(out, room)
+	a := newAsync(out, "", room)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -53,7 +53,7 @@
 	defer out.mu.Unlock()
 	text := out.buf.String()
 	told := int(a.Dropped())
-	for _, match := range regexp.MustCompile(`dropped=(\d+)`).FindAllStringSubmatch(text, -1) {
+	for _, match := range regexp.MustCompile(`unread=(\d+)`).FindAllStringSubmatch(text, -1) {
 		n, err := strconv.Atoi(match[1])
 		if err != nil {
 			t.Fatal(err)
@@ -67,7 +67,7 @@
 
 func TestAsyncCloseWritesWhatWaits(t *testing.T) {
 	var out bytes.Buffer
-	a := NewAsync(&out)
+	a := NewAsync(&out, "")
 	for range 100 {
 		_, _ = a.Write([]byte("line\n"))
 	}
@@ -81,7 +81,7 @@
 func TestAsyncCloseGivesUp(t *testing.T) {
 	out := &stuck{let: make(chan struct{})}
 	defer close(out.let)
-	a := newAsync(out, 8)
+	a := newAsync(out, "", 8)
 	_, _ = a.Write([]byte("line\n"))
 	a.Close(time.Millisecond)
 }
--- a/internal/logging/keys.go
+++ b/internal/logging/keys.go
@@ -9,6 +9,7 @@
 	MessageKey = "msg"
 	ResultKey  = "result"
 	DroppedKey = "dropped_before"
+	UnreadKey  = "unread"
 	// RequestKey is the key of a request's id; lines without it are about the process.
 	RequestKey = "request"
 )
@@ -49,6 +50,7 @@
 	{"err", "the error behind it, as it was reported"},
 	{"cause", "why, in words"},
 	{DroppedKey, "lines of this sentence left out since its last one"},
+	{UnreadKey, "lines left out since nobody read standard output"},
 	{Served.String(), "lines left out about requests that went well"},
 	{Failed.String(), "lines left out about requests that did not"},
 	{State.String(), "lines left out about the process"},
--- a/internal/logging/keys_test.go
+++ b/internal/logging/keys_test.go
@@ -122,7 +122,7 @@
 
 // constants are the keys that the code has names for.
 var constants = map[string]string{
-	"RequestKey": RequestKey, "TimeKey": TimeKey, "DroppedKey": DroppedKey, "PartKey": PartKey, "SelfKey": SelfKey, "ResultKey": ResultKey, "MessageKey": MessageKey,
+	"RequestKey": RequestKey, "TimeKey": TimeKey, "DroppedKey": DroppedKey, "UnreadKey": UnreadKey, "PartKey": PartKey, "SelfKey": SelfKey, "ResultKey": ResultKey, "MessageKey": MessageKey,
 }
 
 // keyOf returns the key that an expression stands for; empty for what is none.
--- a/internal/logging/process.go
+++ b/internal/logging/process.go
@@ -21,14 +21,14 @@
 // Open opens the log of the process part on vm. Lines go to w, at most linesPerSecond each
 // second; level is the least level that is logged.
 func Open(w io.Writer, part, vm, level string, linesPerSecond int) (*Process, error) {
-	lines := NewAsync(w)
-	bounded := Bound(newSink(lines), linesPerSecond, lines.Busy)
+	lines := NewAsync(w, vm)
+	bounded := Bound(log.With(newSink(lines), SelfKey, vm), linesPerSecond, lines.Busy)
 	logger, least, err := filtered(bounded, level)
 	if err != nil {
 		lines.Close(0)
 		return nil, err
 	}
-	return &Process{Logger: Part(log.With(logger, SelfKey, vm), part), Level: least, lines: lines}, nil
+	return &Process{Logger: Part(logger, part), Level: least, lines: lines}, nil
 }
 
 // Close writes the last lines, if somebody reads them.
--- a/test/gateway_inforce_test.go
+++ b/test/gateway_inforce_test.go
@@ -9,8 +9,11 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/apricothub/apricothub/internal/history"
 	"github.com/apricothub/apricothub/test/fakeplatform"
+	"github.com/apricothub/apricothub/test/harness"
 )
 
 const (
@@ -128,14 +131,15 @@
 	}
 }
 
+// waitFor waits for what must happen at a site.
 func waitFor(t *testing.T, what string, is func() bool) {
 	t.Helper()
-	for end := time.Now().Add(siteWait); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if is() {
-			return
+	harness.Eventually(t, siteWait, what, func() error {
+		if !is() {
+			return errors.New("not yet")
 		}
-	}
-	t.Fatalf("not within %s: %s", siteWait, what)
+		return nil
+	})
 }
 
 // Operators publish versions in a row while gateways are killed, frozen and cut off from the
