Prove on processes that a server that leaves gets nothing

Change: TestGatewaysSendNothingToAServerThatLeaves: a server drains or its registration is gone, plain, with a gateway that the store had turned away before, and with one that it turns away just then.

--- a/test/gateway_inforce_test.go
+++ b/test/gateway_inforce_test.go
@@ -100,6 +100,58 @@
 	}
 }
 
+// A backend server leaves while callers press: it says that it drains, or its registration is
+// gone. It gets nothing new after five seconds, whatever had disturbed the gateways' word of
+// the store: one whose reads had failed some time before, while others read for it, must not
+// go on by the registration that it has, nor one that the store turns away just then.
+func TestGatewaysSendNothingToAServerThatLeaves(t *testing.T) {
+	t.Parallel()
+	leave := map[string]func(s *site){
+		"drains":  func(s *site) { s.store.Register(s.servers[1], "draining") },
+		"is gone": func(s *site) { s.store.Put("keyed.servers", s.servers[1].ID(), "") },
+	}
+	disturbed := map[string]func(g *gatewayProcess){
+		"plain": func(*gatewayProcess) {},
+		"one had been turned away": func(g *gatewayProcess) {
+			g.door.Shut.Store(true)
+			time.Sleep(time.Second)
+			g.door.Shut.Store(false)
+		},
+		"the store turns one away": func(g *gatewayProcess) { g.door.Shut.Store(true) },
+	}
+	for how, leaves := range leave {
+		for name, disturb := range disturbed {
+			t.Run(how+", "+name, func(t *testing.T) {
+				t.Parallel()
+				out := &arrivals{}
+				// Four gateways, so that one is not the first of its failure domain and others
+				// read the store for it.
+				s := startSite(t, 4, func(seen fakeplatform.Seen, conn net.Conn) bool {
+					if seen.Request.Header.Get("Target-Instance") == "i-b" {
+						out.note()
+					}
+					return fakeplatform.Echo(seen, conn)
+				})
+				stop := s.callGateways(t, 8)
+				waitFor(t, "the server gets requests", func() bool { _, n := out.get(); return n > 10 })
+				disturb(s.gateways[3])
+				leaves(s)
+				left := time.Now()
+				time.Sleep(heardOf + 2*time.Second)
+				served := stop()
+				last, n := out.get()
+				t.Logf("the last of %d requests came %s after it had left; %d were served in all", n, last.Sub(left).Round(time.Millisecond), served)
+				if last.Sub(left) > heardOf {
+					t.Errorf("a request came %s after it had left", last.Sub(left))
+				}
+				if served < 100 {
+					t.Error("too little happened: the test shows nothing")
+				}
+			})
+		}
+	}
+}
+
 // callGateways lets callers send look-ups to all gateways, each to its own, until the returned
 // function is called, which returns how many were served.
 func (s *site) callGateways(t *testing.T, callers int) func() int {
