Ask for a fencing number again soon after the store gave none

The store is away while entries are stopped and started in turn, the one that coordinates among them. The next one asks for a number at 25.1 s, the store is back at 26.1, and it asks again at 28.2: it rested for 3 s as after an engine's refusal. Popularity moves meanwhile, skew 2.97, passes of 190 ms.

Ruled out: the time of the switch itself (0.75 s), the choice of the coordinator (a-2 and a-3 asked as well).

Change: 0.4 s between two requests for a number.

--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -36,6 +36,10 @@
 	askTime = 500 * time.Millisecond
 	// fenceTime bounds asking the store for a fencing number.
 	fenceTime = time.Second
+	// askAgain is the time between two requests for a number while the store gives none. An
+	// outage costs a few calls more, and a group without coordinator waits for its slowest
+	// rank in every pass for no longer than the outage.
+	askAgain = 400 * time.Millisecond
 	// settleTime is how long an entry must be the one to coordinate before it begins: those
 	// that start or return at the same time do not take turns.
 	settleTime = 300 * time.Millisecond
@@ -190,7 +194,7 @@
 	if err != nil {
 		_ = level.Warn(c.logger).Log("msg", "The store gave no fencing number.", "err", err,
 			"result", result.Label(api.ResultCode_LOG_UNAVAILABLE))
-		c.restUntil = now + restTime
+		c.restUntil = now + askAgain
 		return false
 	}
 	c.fence.Store(offset + 1)
--- a/internal/experts/coordinator_test.go
+++ b/internal/experts/coordinator_test.go
@@ -92,9 +92,16 @@
 func (b *fakeBeliefs) Engines() []Engine { return b.engines }
 
 // newStore gives numbers, each higher than the last.
-func newStore(t *testing.T) *platform.Store {
-	var offset atomic.Int64
+func newStore(t *testing.T) *platform.Store { return newStoreAfter(t, 0) }
+
+// newStoreAfter turns so many calls away before it gives numbers.
+func newStoreAfter(t *testing.T, refusals int64) *platform.Store {
+	var offset, calls atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) <= refusals {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		_, _ = fmt.Fprintf(w, `{"offset":%d,"end":0}`, offset.Add(1)-1)
 	}))
 	t.Cleanup(server.Close)
@@ -180,3 +187,14 @@
 	until(t, "the first one rests", func() bool { return first.Fence() == 0 })
 	g.passesGoOn(t, 20)
 }
+
+// The coordinator is replaced while the store is away, and experts' popularity moves on: every
+// pass waits for one rank. Once the store answers again the next coordinator begins within a
+// moment of its next question, not after the rest of one whom engines have refused.
+func TestACoordinatorBeginsSoonAfterAnOutage(t *testing.T) {
+	t.Parallel()
+	const refusals = 12
+	g := newTestGroup(t, 0)
+	coordinate(t, g, newStoreAfter(t, refusals))
+	until(t, "the popular expert stands on several ranks", func() bool { return g.State().Replicas >= 3 })
+}
