Take the names of entries that are gone off the store's list

Cause: found while reading for the shares of a cold server. Each entry writes its name into keyed.members at its start and nobody takes one off. The shares made it worse: a name learned from the list counted as an entry for 2 s of every 60, so that after some hundred replacements the budget of retries and the connections to servers would fall to nothing again and again.

Change: names learned from the list count in the first 2 s of a process only; who comes later is heard first. peering.Roll tells names that were silent for ten minutes, 16 at a time; the coordinator alone takes them off. An entry that finds its own name gone writes it again.

--- a/coord/peering/peering.go
+++ b/coord/peering/peering.go
@@ -28,8 +28,8 @@
 	BeatsPerSecond float64
 	// Probe is the time between two beats to an entry that is silent. Default 1 s.
 	Probe time.Duration
-	// Unheard is how long an entry that was learned of and has never been heard may be taken
-	// as living. Default 2 s: two probes, and time for their answers.
+	// Unheard is how long after the process's start an entry that was learned of and has never
+	// been heard may be taken as living. Default 2 s: two probes, and time for their answers.
 	Unheard time.Duration
 	// Forget is the silence after which an entry is no longer sent to. Default 60 s. One
 	// that comes back later makes itself known.
@@ -133,7 +133,7 @@
 
 // MayLive returns the number of other entries that may be at work, by what is known: those
 // that are heard, those that have gone silent without a word, until they are forgotten, and
-// those that were learned of and have not had the time to answer.
+// at the process's start those that were learned of and have not had the time to answer.
 //
 // Load: entries that are frozen, or are not heard for a while, and work on; entries that have
 // all just started. Harm prevented: the others share out among themselves what a silent one
@@ -145,7 +145,9 @@
 		switch {
 		case t.live(p, now):
 			n++
-		case p.beat == nil && now-p.known <= t.cfg.Unheard:
+		case p.beat == nil && now <= t.cfg.Unheard:
+			// Later on, who comes is heard first, and the list also has names of VMs that are
+			// long gone.
 			n++
 		case p.beat != nil && !p.beat.GetLeaving() && now-p.heard <= t.cfg.Forget:
 			n++
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -55,6 +55,7 @@
 	operators, servers *keyed.Table
 	registry           *registry.Registry
 	peers              *peering.Table
+	roll               peering.Roll
 	table              *routing.Table
 	// out are the failure domains that operators have taken out.
 	out map[string]bool
@@ -108,11 +109,8 @@
 			c.takeState(s)
 		case ask := <-c.g.stateRequests:
 			ask.reply <- c.state(ask)
-		case ips := <-c.g.learned:
-			for _, ip := range ips {
-				c.peers.Learn(ip, clock.Now())
-			}
-			c.met = true
+		case read := <-c.g.rosters:
+			c.takeRoster(read, clock.Now())
 		case <-c.g.leave:
 			c.urgent = true
 			c.g.leave = nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,8 @@
 	listen      net.ListenConfig
 	socket      *net.UDPConn
 	peerClient  *http.Client
+	// meetEach is membersEach, but for tests.
+	meetEach time.Duration
 
 	view    atomic.Pointer[view]
 	leaving atomic.Bool
@@ -72,7 +74,7 @@
 	beats         chan *api.PeerBeat
 	states        chan fetched
 	stateRequests chan stateRequest
-	learned       chan []string
+	rosters       chan roster
 	leave         chan struct{}
 	// stopped is closed when the process ends.
 	stopped chan struct{}
@@ -101,11 +103,12 @@
 			DialContext:       (&net.Dialer{Timeout: connectTime}).DialContext,
 			DisableKeepAlives: true,
 		}},
+		meetEach:      membersEach,
 		news:          make(chan news, newsRoom),
 		beats:         make(chan *api.PeerBeat, beatRoom),
 		states:        make(chan fetched),
 		stateRequests: make(chan stateRequest),
-		learned:       make(chan []string),
+		rosters:       make(chan roster),
 		leave:         make(chan struct{}),
 		stopped:       make(chan struct{}),
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -31,12 +30,6 @@
 	// maxState bounds its answer, bytes: a configuration of hundreds of routes and
 	// registrations of thousands of servers.
 	maxState = 16 << 20
-
-	// topicMembers holds the entries, each under the name of its VM.
-	topicMembers = "keyed.members"
-	// membersEach is the time between two reads of the members. They are read at the start,
-	// and again for what beats cannot heal: two halves that never heard of each other.
-	membersEach = 20 * time.Second
 )
 
 // sendBeat sends a beat to other entries. Beats that do not arrive are not missed: the next
@@ -163,60 +156,3 @@
 	}
 	return netip.AddrPortFrom(addr, uint16(g.settings.PeerPort)).String()
 }
-
-// meet makes this entry known to the others through the store, and learns of them. Each
-// writes before it reads: of two that start at the same time one at least learns of the
-// other, and the first beat makes both known.
-func (g *Gateway) meet(ctx context.Context) error {
-	written := false
-	wait := time.Duration(0)
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(wait):
-		}
-		if !written {
-			written = g.writeMember(ctx)
-		}
-		read := g.readMembers(ctx)
-		wait = membersEach
-		if !written || !read {
-			wait = retryMost
-		}
-	}
-}
-
-func (g *Gateway) writeMember(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, answerTime)
-	defer cancel()
-	if _, err := g.store.Put(ctx, topicMembers, g.settings.VM, []byte(g.settings.IP)); err != nil {
-		_ = level.Warn(g.logger).Log("msg", "The store did not take this entry's name.", "err", err,
-			"result", result.Label(api.ResultCode_LOG_UNAVAILABLE))
-		return false
-	}
-	return true
-}
-
-func (g *Gateway) readMembers(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, answerTime)
-	defer cancel()
-	listing, err := g.store.Newest(ctx, topicMembers)
-	if err != nil {
-		_ = level.Warn(g.logger).Log("msg", "The store did not tell the entries' names.", "err", err,
-			"result", result.Label(api.ResultCode_LOG_UNAVAILABLE))
-		return false
-	}
-	var ips []string
-	for _, r := range listing.Records {
-		if net.ParseIP(string(r.Value)) != nil {
-			ips = append(ips, string(r.Value))
-		}
-	}
-	select {
-	case g.learned <- ips:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/logging/sentences_test.go
+++ b/internal/logging/sentences_test.go
@@ -50,6 +50,7 @@
 	"The entry is stopping. It has left the list of addresses.":           true,
 	"The expert map is given a new version.":                              true,
 	"The log has dropped records; all keys are read anew.":                true,
+	"The name of an entry that is gone was taken off the list.":           true,
 	"The process leaves.":                                                 true,
 	"The process starts.":                                                 true,
 	"The process stops.":                                                  true,
