Give the expert maps of all layer sets one budget of copies

Cause: a rank copies one expert after the other, whatever set it belongs to. The planner bounded new experts by set, so that its smallest change copied one expert in each set, never one over all sets, and it knew no change after this one. On the new deployment (0.4 s a copy, three sets) the group stood 1.35 s at 2.5 to 4 times the ideal before each new map was in use, and half of the streams were late by a pause.

Change: one search over all sets, whose bound on what a rank copies is raised step by step. How far a change goes is weighed over the horizon with the changes that can follow it: copies, the time of a change and the horizon decide, so that fast copies still go into one large change.

--- a/decide/balance/improve.go
+++ b/decide/balance/improve.go
@@ -24,7 +24,7 @@
 // prevented: a change that the busiest ranks refuse, after the others have copied theirs.
 func ImproveWithin(p *Placement, d Demand, target float64, moves, perRank int) *Placement {
 	s := newSearch(p.Clone(), d)
-	s.origin, s.perRank = p, perRank
+	s.bound(p, perRank, nil)
 	for moves > 0 {
 		hot, peak := s.busiest()
 		if peak <= target*s.ideal {
@@ -55,21 +55,45 @@
 	// it did not hold there; zero for no bound.
 	origin  *Placement
 	perRank int
+	// copies is what ranks copy over all sets of layers; nil for no bound.
+	copies *copies
+	// idle is an expert that nobody chooses and that is not copied; -1 for none.
+	idle int32
+}
+
+// copies bounds what each rank copies over several placements together.
+type copies struct {
+	// most is the bound of each rank, of is what each rank copies now.
+	most int
+	of   []int
+}
+
+// bound bounds the experts that ranks may copy.
+func (s *search) bound(origin *Placement, perRank int, c *copies) {
+	s.origin, s.perRank, s.copies = origin, perRank, c
 }
 
 // mayLoad says whether a rank may come to hold an expert.
 func (s *search) mayLoad(rank int, expert int32) bool {
-	if s.perRank == 0 || slices.Contains(s.origin.rank(rank), expert) {
+	if expert == s.idle || s.perRank == 0 && s.copies == nil || slices.Contains(s.origin.rank(rank), expert) {
 		return true
 	}
-	loaded := 0
-	held := s.p.rank(rank)
+	if s.copies != nil && s.copies.of[rank] >= s.copies.most {
+		return false
+	}
+	return s.perRank == 0 || s.loaded(rank) < s.perRank
+}
+
+// loaded counts the experts that a rank holds and did not hold at the origin.
+func (s *search) loaded(rank int) int {
+	n := 0
+	held, before := s.p.rank(rank), s.origin.rank(rank)
 	for i, e := range held {
-		if !slices.Contains(s.origin.rank(rank), e) && !slices.Contains(held[:i], e) {
-			loaded++
+		if e != s.idle && !slices.Contains(before, e) && !slices.Contains(held[:i], e) {
+			n++
 		}
 	}
-	return loaded < s.perRank
+	return n
 }
 
 // heaviest holds the times of an expert's two busiest ranks, as they are when one
@@ -89,6 +113,7 @@
 		times:      p.Times(d),
 		heaviest:   make([]heaviest, p.Experts),
 		ideal:      d.ideal(p.Ranks),
+		idle:       -1,
 	}
 	s.findHeaviest()
 	return s
@@ -288,8 +313,15 @@
 
 // put stands an expert in a slot in place of another.
 func (s *search) put(slot int, expert int32) {
+	rank := slot / s.p.SlotsPerRank
+	if s.copies != nil {
+		s.copies.of[rank] -= s.loaded(rank)
+	}
 	old := s.p.Slots[slot]
 	s.replicas[old]--
 	s.p.Slots[slot] = expert
 	s.replicas[expert]++
+	if s.copies != nil {
+		s.copies.of[rank] += s.loaded(rank)
+	}
 }
--- a/decide/balance/layers.go
+++ b/decide/balance/layers.go
@@ -57,8 +57,8 @@
 	return c
 }
 
-// loadBurden is the part by which passes take longer while ranks copy experts.
-const loadBurden = 0.15
+// copyBurden is the part by which passes take longer while ranks copy experts.
+const copyBurden = 0.15
 
 // Layers plans the expert maps of a group whose layers come in sets, each with experts of
 // its own. A pass goes through the sets one after the other, and in each of them waits for
@@ -137,66 +137,47 @@
 // Plan returns the change to make from the maps in use, or nil when none is worth it.
 // pressed says that passes are long against the pauses that callers accept.
 //
-// Load: a popularity of which half changes within a few seconds, and ranks that take a tenth
+// Load: a popularity of which half changes within a few seconds, and ranks that take tenths
 // of a second for each expert that is new to them. Harm prevented: waiting for the perfect
-// map while the group is slow. Ranks with one new expert each are ready soon, and that is
-// most of the relief; how many are worth their time is weighed over the horizon.
+// map while the group is slow. How much is copied before the next change of maps is weighed
+// over the horizon, with the changes that can follow it.
 func (l *Layers) Plan(current []LayerMap, pressed bool) *Change {
 	trigger, target := l.cfg.Trigger, l.cfg.Target
 	if pressed {
 		trigger, target = l.cfg.PressedTrigger, l.cfg.PressedTarget
 	}
-	before := l.Skew(current)
-	if before <= trigger {
+	if l.Skew(current) <= trigger {
 		return nil
 	}
-	var best *Change
-	cost := before * l.cfg.Horizon.Seconds()
-	for quota := 1; quota <= max(l.shape.Spare, 1); quota++ {
-		c := l.within(current, target, min(quota, l.shape.Spare))
-		if c == nil {
-			return nil
-		}
-		c.Before = before
-		if spent := l.cost(c); spent < cost {
-			best, cost = c, spent
-		}
+	from, demands := make([]*Placement, len(l.sets)), make([]Demand, len(l.sets))
+	for i, set := range l.sets {
+		from[i], _ = l.placement(current[i])
+		demands[i] = l.demand(set)
 	}
-	return best
-}
-
-// cost is the time that passes spend on experts over the horizon, in that of passes with
-// evenly busy ranks.
-func (l *Layers) cost(c *Change) float64 {
-	ready := time.Duration(c.Loads)*l.cfg.LoadTime + l.cfg.SwitchTime
-	ready = min(ready, l.cfg.Horizon)
-	return ready.Seconds()*c.Before*(1+loadBurden) + (l.cfg.Horizon-ready).Seconds()*c.After
+	plans := newSequence(from, demands, l.shape.Spare, target, int32(l.shape.Experts)).plans(l.mostCopies())
+	t := timing{copy: l.cfg.LoadTime, change: l.cfg.SwitchTime, horizon: l.cfg.Horizon}
+	at := t.cheapest(plans)
+	if at == 0 {
+		return nil
+	}
+	c := &Change{Before: plans[0].stretch, After: plans[at].stretch, Loads: plans[at].copies}
+	for _, p := range plans[at].placements {
+		c.Maps = append(c.Maps, l.layerMap(p))
+	}
+	return c
 }
 
-// within plans a change in which no rank takes more than quota new experts in a set; zero
-// means no bound.
-func (l *Layers) within(current []LayerMap, target float64, quota int) *Change {
-	c := &Change{Maps: make([]LayerMap, len(current))}
-	loads := make([]int, l.shape.Ranks)
-	for i, set := range l.sets {
-		d := l.demand(set)
-		from, ok := l.placement(current[i])
-		if !ok {
-			return nil
-		}
-		to := ImproveWithin(from, d, target, len(from.Slots), quota)
-		c.Maps[i] = l.layerMap(to)
-		c.After += d.Stretch(to) / float64(len(l.sets))
-		for rank, experts := range c.Maps[i] {
-			for _, expert := range experts {
-				if !slices.Contains(current[i][rank], expert) {
-					loads[rank]++
-				}
-			}
-		}
+// mostCopies is the most experts that a rank can be asked to copy: what it takes, and what is
+// done within the horizon.
+func (l *Layers) mostCopies() int {
+	most := l.shape.Sets * l.shape.Slots
+	if l.shape.Spare > 0 {
+		most = l.shape.Sets * l.shape.Spare
 	}
-	c.Loads = slices.Max(loads)
-	return c
+	if l.cfg.LoadTime > 0 {
+		most = min(most, max(1, int(l.cfg.Horizon/l.cfg.LoadTime)))
+	}
+	return most
 }
 
 // Skew is the time that a pass spends on experts with the given maps, against the time if
