Tell late answers by what their route aims at

Cause: an answer counted as late by constants (560 ms to the first event, 640 ms between two), whatever the route said. On the new deployment half of all streams were late by a pause over 120 ms and not one line or counter said so.

Change: the objective and the pause of the route decide, the constants only where it names none; the line and the counters say whether the first event, a pause or the whole answer was late (TestLateness).

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -10,18 +10,6 @@
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/logging"
 	"github.com/apricothub/apricothub/internal/result"
-	"github.com/apricothub/apricothub/internal/routing"
-)
-
-const (
-	// lateFirst is when the first event of a stream is late: the aim for 95 of 100.
-	lateFirst = 560 * time.Millisecond
-	// lateGap is when the time between two events is late: ten times the aim for 95 of 100,
-	// which a reader notices.
-	lateGap = 640 * time.Millisecond
-	// latePart is the part of its time after which a whole answer is late: at the next such
-	// delay it would have missed its deadline.
-	latePart = 0.5
 )
 
 // age is how old a belief is, as logs show it; -1 for one that was never confirmed.
@@ -81,11 +69,11 @@
 
 // logServed logs a request whose caller has the answer of a backend server. One that was
 // late, or took more than one attempt, is told apart, since it has a cause to be found.
-func (g *Gateway) logServed(t *task, s placement, late bool) {
+func (g *Gateway) logServed(t *task, s placement, late lateness) {
 	switch {
-	case late:
+	case late != onTime:
 		_ = level.Warn(g.logger).Log(line(t, "A request was served late.", func() [][]any {
-			return [][]any{serverFields(s), t.times(), g.inputs(t), g.roomFields(t)}
+			return [][]any{{"late", late}, serverFields(s), t.times(), g.inputs(t), g.roomFields(t)}
 		})...)
 	case len(t.tried) > 1:
 		_ = level.Warn(g.logger).Log(line(t, "A request was served after another attempt.", func() [][]any {
@@ -105,14 +93,6 @@
 	}
 }
 
-// late says that an answer came later than its caller may expect.
-func (t *task) late() bool {
-	if t.route.Kind == routing.Stream {
-		return t.out.firstAt-t.arrived > lateFirst || t.out.gap > lateGap
-	}
-	return t.until > 0 && t.elapsed() > time.Duration(latePart*float64(t.until-t.arrived))
-}
-
 // logEnd logs a request that ended otherwise.
 func (g *Gateway) logEnd(t *task, msg string, code api.ResultCode) {
 	_ = level.Warn(g.logger).Log(line(t, msg, func() [][]any {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -276,8 +276,9 @@
 func (g *Gateway) served(t *task, server placement) {
 	g.metrics.served.Inc(1)
 	late := t.late()
-	if late {
+	if late != onTime {
 		g.metrics.late.Inc(1)
+		g.metrics.lateBy(late)
 	}
 	g.metrics.took.Update(t.elapsed().Milliseconds())
 	g.metrics.waited.Update(t.waited.Milliseconds())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -60,8 +60,15 @@
 	// Thousands of names would make the page longer than anybody reads.
 	mostTeams  = 64
 	otherTeams = "OTHERS"
+	// latePrefix begins the names of the counters of late answers by what was late.
+	latePrefix = "gateway.late."
 )
 
+// lateBy counts a late answer by what was late.
+func (c *counters) lateBy(what lateness) {
+	metrics.GetOrRegisterCounter(latePrefix+string(what), c.registry).Inc(1)
+}
+
 // ended counts a request by kind, team and whether the caller has a backend server's answer.
 func (c *counters) ended(kind, team string, served bool) {
 	outcome := ".refused"
--- a/internal/logging/keys.go
+++ b/internal/logging/keys.go
@@ -71,6 +71,7 @@
 	{"took_ms", "time from the arrival, or that the matter took"},
 	{"waited_ms", "time for which it waited for its turn"},
 	{"first_ms", "time from the arrival to the first byte for the caller"},
+	{"late", "what was later than the route aims at: the first event, a pause between two, or the whole answer"},
 	{"gap_ms", "longest time between two events of the answer"},
 	{"left_ms", "time left to its deadline"},
 	{"last_event", "id of the last event that its caller has"},
