Average popularity over passes, and measure its noise

Cause: the average of popularity was dropped whenever what was seen last was more than 0.05 apart from it. A pass of a small group chooses some hundred experts of a set, so that two looks at the same popularity are 0.05 to 0.2 apart: the average was dropped at nearly every look, and maps were planned for the noise of three passes, copied for it, and worn out at once.

Change: the average stands for up to 32 passes; how far single passes usually are from it is measured, and only what is twice as far counts as a change. The sample in which popularity changed counts as one pass.

--- a/decide/balance/bench_test.go
+++ b/decide/balance/bench_test.go
@@ -30,7 +30,7 @@
 			for i := range counts {
 				counts[i] = zipf(rng, c.shape.Experts, c.skew)
 			}
-			l.Observe(time.Second, counts)
+			l.Observe(20, counts)
 			maps := inTurn(c.shape)
 			for b.Loop() {
 				if l.Plan(maps, true) == nil {
--- a/decide/balance/layers.go
+++ b/decide/balance/layers.go
@@ -21,10 +21,6 @@
 
 // LayersConfig holds the limits of Layers. A zero field takes its default.
 type LayersConfig struct {
-	// Average is the time constant of the average of popularity. Default 1 s: about as long
-	// as a generation takes, and the experts that a group's requests choose change with the
-	// requests.
-	Average time.Duration
 	// Trigger is the skew past which a change of maps is looked for, Target the one at
 	// which the search stops, while passes are short against the pauses that callers
 	// accept. Defaults 1.6 and 1.25: callers notice no less. A lower skew copies more
@@ -51,7 +47,6 @@
 	setFloat(&c.Target, 1.25)
 	setFloat(&c.PressedTrigger, 1.2)
 	setFloat(&c.PressedTarget, 1.1)
-	setTime(&c.Average, time.Second)
 	setTime(&c.SwitchTime, 150*time.Millisecond)
 	setTime(&c.Horizon, 2500*time.Millisecond)
 	return c
@@ -66,32 +61,31 @@
 type Layers struct {
 	shape Shape
 	cfg   LayersConfig
-	sets  []*Balancer
+	seen  popularity
 	// pace is how many times slower than usual each rank is; nil when all are alike.
 	pace []float64
 }
 
 // NewLayers returns a plan for a group of which nothing is known yet.
 func NewLayers(shape Shape, cfg LayersConfig) (*Layers, error) {
-	cfg = cfg.withDefaults()
-	l := &Layers{shape: shape, cfg: cfg}
-	for range shape.Sets {
-		p, err := NewPlacement(shape.Experts, shape.Ranks, shape.Slots)
-		if err != nil {
-			return nil, err
-		}
-		l.sets = append(l.sets, New(Config{Average: cfg.Average}, p, 0))
+	if _, err := NewPlacement(shape.Experts, shape.Ranks, shape.Slots); err != nil {
+		return nil, err
 	}
-	return l, nil
+	return &Layers{shape: shape, cfg: cfg.withDefaults()}, nil
 }
 
-// Observe takes how often each expert was chosen since the last observation, by set.
-func (l *Layers) Observe(now time.Duration, counts [][]float64) {
-	for i, set := range l.sets {
-		if i < len(counts) && len(counts[i]) == l.shape.Experts {
-			set.Observe(now, counts[i])
+// Observe takes how often each expert was chosen in the passes since the last observation, by
+// set.
+func (l *Layers) Observe(passes int64, counts [][]float64) {
+	if len(counts) != l.shape.Sets {
+		return
+	}
+	for _, set := range counts {
+		if len(set) != l.shape.Experts {
+			return
 		}
 	}
+	l.seen.observe(passes, counts)
 }
 
 // slowPace is the pace from which on a rank counts as slow. What ranks report of healthy
@@ -120,8 +114,8 @@
 
 // demand is what one set's map has to carry. The additional expert stands in the slots that
 // are free, and nobody chooses it.
-func (l *Layers) demand(set *Balancer) Demand {
-	return Demand{Popularity: append(slices.Clone(set.Popularity()), 0), Pace: l.pace}
+func (l *Layers) demand(set int) Demand {
+	return Demand{Popularity: append(slices.Clone(l.seen.parts[set]), 0), Pace: l.pace}
 }
 
 // Change is a change of maps.
@@ -149,10 +143,10 @@
 	if l.Skew(current) <= trigger {
 		return nil
 	}
-	from, demands := make([]*Placement, len(l.sets)), make([]Demand, len(l.sets))
-	for i, set := range l.sets {
+	from, demands := make([]*Placement, l.shape.Sets), make([]Demand, l.shape.Sets)
+	for i := range from {
 		from[i], _ = l.placement(current[i])
-		demands[i] = l.demand(set)
+		demands[i] = l.demand(i)
 	}
 	plans := newSequence(from, demands, l.shape.Spare, target, int32(l.shape.Experts)).plans(l.mostCopies())
 	t := timing{copy: l.cfg.LoadTime, change: l.cfg.SwitchTime, horizon: l.cfg.Horizon}
@@ -183,22 +177,25 @@
 // Skew is the time that a pass spends on experts with the given maps, against the time if
 // all ranks were evenly busy.
 func (l *Layers) Skew(current []LayerMap) float64 {
+	if len(current) != l.shape.Sets || l.seen.parts == nil {
+		return 1
+	}
 	sum := 0.0
-	for i, set := range l.sets {
-		if i >= len(current) || !set.seen || len(current[i]) != l.shape.Ranks {
-			return 1
-		}
-		p, ok := l.placement(current[i])
+	for i, set := range current {
+		p, ok := l.placement(set)
 		if !ok {
 			return 1
 		}
-		sum += l.demand(set).Stretch(p)
+		sum += l.demand(i).Stretch(p)
 	}
-	return sum / float64(len(l.sets))
+	return sum / float64(l.shape.Sets)
 }
 
 // placement makes a placement of one set's map, with the additional expert in free slots.
 func (l *Layers) placement(m LayerMap) (*Placement, bool) {
+	if len(m) != l.shape.Ranks {
+		return nil, false
+	}
 	none := int32(l.shape.Experts)
 	p := &Placement{Experts: l.shape.Experts + 1, Ranks: l.shape.Ranks, SlotsPerRank: l.shape.Slots}
 	for _, experts := range m {
--- a/decide/balance/layers_test.go
+++ b/decide/balance/layers_test.go
@@ -48,7 +48,7 @@
 		for i := range counts {
 			counts[i] = zipf(rng, shape.Experts, 1.3)
 		}
-		l.Observe(time.Second, counts)
+		l.Observe(20, counts)
 		maps := inTurn(shape)
 		changes := 0
 		for ; ; changes++ {
@@ -102,7 +102,7 @@
 	for i := range even {
 		even[i] = 100 + float64(i%2)
 	}
-	l.Observe(time.Second, [][]float64{even})
+	l.Observe(20, [][]float64{even})
 	if change := l.Plan(inTurn(shape), true); change != nil {
 		t.Errorf("a change from %.3f to %.3f", change.Before, change.After)
 	}
@@ -123,7 +123,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		l.Observe(time.Second, counts)
+		l.Observe(20, counts)
 		return l.Plan(inTurn(shape), true).Loads
 	}
 	if slow, free := loads(100*time.Millisecond), loads(0); slow > shape.Sets || free <= slow {
@@ -144,7 +144,7 @@
 		counts[i] = 100
 	}
 	counts[0] = 230
-	l.Observe(time.Second, [][]float64{counts})
+	l.Observe(20, [][]float64{counts})
 	if l.Plan(inTurn(shape), false) != nil || l.Plan(inTurn(shape), true) == nil {
 		t.Errorf("skew %.2f: a change without pressure, or none with it", l.Skew(inTurn(shape)))
 	}
@@ -164,7 +164,7 @@
 	for i := range counts {
 		counts[i] = zipf(rng, shape.Experts, 1.3)
 	}
-	l.Observe(time.Second, counts)
+	l.Observe(20, counts)
 	paces := slices.Repeat([]float64{1.02}, shape.Ranks)
 	paces[4] = 12
 	l.ObservePaces(paces)
@@ -190,7 +190,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.Observe(time.Second, [][]float64{zipf(rand.New(rand.NewPCG(1, 1)), 24, 1.3)})
+	l.Observe(20, [][]float64{zipf(rand.New(rand.NewPCG(1, 1)), 24, 1.3)})
 	for _, maps := range [][]LayerMap{nil, {}, {{{0}, {1}}}, {{{99}, {0}, {0}, {0}, {0}, {0}}}} {
 		if l.Plan(maps, true) != nil {
 			t.Errorf("%v was planned from", maps)
--- a/decide/balance/sequence_test.go
+++ b/decide/balance/sequence_test.go
@@ -15,10 +15,10 @@
 	tm := timing{copy: l.cfg.LoadTime, change: l.cfg.SwitchTime, horizon: l.cfg.Horizon}
 	sum, left := 0.0, span
 	for left > 0 {
-		from, demands := make([]*Placement, len(l.sets)), make([]Demand, len(l.sets))
-		for i, set := range l.sets {
+		from, demands := make([]*Placement, len(maps)), make([]Demand, len(maps))
+		for i := range maps {
 			from[i], _ = l.placement(maps[i])
-			demands[i] = l.demand(set)
+			demands[i] = l.demand(i)
 		}
 		plans := newSequence(from, demands, l.shape.Spare, l.cfg.PressedTarget, int32(l.shape.Experts)).plans(l.mostCopies())
 		n := at(tm, plans)
@@ -62,7 +62,7 @@
 				for i := range counts {
 					counts[i] = zipf(rng, shape.Experts, 1.2)
 				}
-				l.Observe(time.Second, counts)
+				l.Observe(20, counts)
 				best := l.Skew(inTurn(shape))
 				for _, size := range []int{1, 2, 4, 8, shape.Sets * max(shape.Spare, 1)} {
 					fixed := relief(t, l, inTurn(shape), span, func(_ timing, plans []plan) int { return min(size, len(plans)-1) })
@@ -87,7 +87,7 @@
 	}
 	even := slices.Repeat([]float64{100}, shape.Experts)
 	skewed := zipf(rand.New(rand.NewPCG(2, 1)), shape.Experts, 1.3)
-	l.Observe(time.Second, [][]float64{even, skewed, even})
+	l.Observe(20, [][]float64{even, skewed, even})
 	change := l.Plan(inTurn(shape), true)
 	if change == nil || change.Loads != 1 {
 		t.Fatalf("not a change of one copy each: %+v", change)
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -77,8 +77,8 @@
 		return false
 	}
 	slices.SortFunc(members, func(a, b *member) int { return int(a.reply.GetState().GetRank() - b.reply.GetState().GetRank()) })
-	g.measure(members, now)
-	g.observe(members, now)
+	passes := g.measure(members, now)
+	g.observe(members, passes)
 	current := g.current(members)
 	if g.target == 0 && current != nil {
 		g.choose(current, now)
@@ -129,8 +129,8 @@
 // passWeight is the weight of the newest look in the average time of a pass.
 const passWeight = 0.5
 
-// measure follows the time of a pass.
-func (g *group) measure(members []*member, now time.Duration) {
+// measure follows the time of a pass and returns the number of passes since the last look.
+func (g *group) measure(members []*member, now time.Duration) int64 {
 	g.pause = members[0].engine.Pause
 	step := members[0].reply.GetState().GetStep()
 	passes := step - g.step
@@ -144,10 +144,11 @@
 	if passes != 0 {
 		g.step, g.lookedAt = step, now
 	}
+	return passes
 }
 
 // observe sums what all ranks' requests chose since the last look.
-func (g *group) observe(members []*member, now time.Duration) {
+func (g *group) observe(members []*member, passes int64) {
 	sums := make([][]float64, g.shape.Sets)
 	for i := range sums {
 		sums[i] = make([]float64, g.shape.Experts)
@@ -167,7 +168,7 @@
 			sums[i/g.shape.Experts][i%g.shape.Experts] += float64(max(n-last[i], 0))
 		}
 	}
-	g.layers.Observe(now, sums)
+	g.layers.Observe(passes, sums)
 	paces := make([]float64, len(members))
 	for rank, m := range members {
 		paces[rank] = m.reply.GetState().GetPace()
