Give orders to engines again at once that got no answer

Cause: an engine that leaves an order unanswered was waited for 400 ms, in which the group stood held, and the time in which its state could have been read was spent on it too, so that nothing was known of the rank until the next look.

Change: an order is waited for 80 ms, the state is read in any case, and an order without an answer is given again as soon as the rank reports that it was not carried out (TestAnUnansweredOrderLeavesTimeForTheState, red before: no state; TestAnUnansweredOrderIsGivenAgain).

--- a/coord/mapswitch/claim_test.go
+++ b/coord/mapswitch/claim_test.go
@@ -38,3 +38,28 @@
 		t.Errorf("in a new epoch: %+v", d.Orders)
 	}
 }
+
+// One of two ranks leaves the order to arm it unanswered, and reports that it is not armed. The
+// group is held: the order is given again at once, and not after the age of a report.
+func TestAnUnansweredOrderIsGivenAgain(t *testing.T) {
+	held := int64(33)
+	armed := &Arming{Version: 513, Step: held}
+	m := New(Config{})
+	m.Claimed(0, 1)
+	m.Claimed(1, 1)
+	ready := Status{Epoch: 1, Step: 30, Prepared: 513}
+	holder := ready
+	holder.Held = &held
+	first := m.Next(0, []Status{holder, ready}, 513)
+	if len(first.Orders) != 2 || first.Orders[1].Kind != Arm {
+		t.Fatalf("held and not armed: %+v", first.Orders)
+	}
+	holder.Armed = armed
+	if d := m.Next(1, []Status{holder, ready}, 513); len(d.Orders) != 0 {
+		t.Errorf("while the answer may come: %+v", d.Orders)
+	}
+	m.Unanswered(first.Orders[1])
+	if d := m.Next(2, []Status{holder, ready}, 513); len(d.Orders) != 1 || d.Orders[0] != first.Orders[1] {
+		t.Errorf("after no answer: %+v", d.Orders)
+	}
+}
--- a/coord/mapswitch/mapswitch.go
+++ b/coord/mapswitch/mapswitch.go
@@ -164,6 +164,13 @@
 	return d
 }
 
+// Unanswered says that nobody knows whether an order was carried out. It is given again as soon
+// as the rank reports that it was not.
+//
+// Load: engines that leave some of their orders unanswered. Harm prevented: a group that is held
+// waits for each of them as long as for a report that may be old.
+func (m *Machine) Unanswered(o Order) { delete(m.sent, o) }
+
 // Claimed says that a rank has taken a claim. What it is reported to be must have been read
 // after that.
 func (m *Machine) Claimed(rank int, epoch int64) { m.claimed[rank] = epoch }
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -267,9 +267,6 @@
 func (g *group) order(ctx context.Context, members []*member, orders []mapswitch.Order) {
 	byRank := make(map[int]mapswitch.Order, len(orders))
 	for _, o := range orders {
-		if o.Kind == mapswitch.Claim {
-			o.Version = g.c.noVersion()
-		}
 		byRank[o.Rank] = o
 	}
 	engines := make([]Engine, len(members))
@@ -284,6 +281,9 @@
 		if !ok {
 			return nil
 		}
+		if o.Kind == mapswitch.Claim {
+			o.Version = g.c.noVersion()
+		}
 		sent := ranks.OrderToWire(o, g.c.fence.Load(), nil)
 		if o.Kind == mapswitch.Prepare {
 			sent = ranks.OrderToWire(o, g.c.fence.Load(), layers)
@@ -297,6 +297,9 @@
 			continue
 		}
 		members[rank].take(o, a)
+		if a.reply.GetState() != nil && a.reply.GetResult() == api.OrderResult_ORDER_UNKNOWN && !a.direct {
+			g.machine.Unanswered(o)
+		}
 		if o.Kind == mapswitch.Claim && a.reply.GetResult() == api.OrderResult_ORDER_TAKEN {
 			g.machine.Claimed(rank, o.Epoch)
 		}
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -33,11 +33,11 @@
 		}
 	}
 	if o := req.GetOrder(); o != nil {
-		made, err := engine.Order(ctx, fromWire(o))
+		made, err := Order(ctx, engine, o)
 		if err != nil {
 			fail(err)
 		}
-		reply.Result = resultToWire[made]
+		reply.Result = made
 	}
 	report, err := engine.Report(ctx)
 	if err != nil {
@@ -64,6 +64,17 @@
 	return reply
 }
 
+// Order gives an engine an order and reads nothing.
+//
+// Load: engines that leave orders unanswered. Harm prevented: the time for which the engine's
+// state could still be read is spent on the answer, and nothing at all is known of the rank.
+func Order(ctx context.Context, engine *platform.Engine, o *api.RankOrder) (api.OrderResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, platform.OrderTime)
+	defer cancel()
+	made, err := engine.Order(ctx, fromWire(o))
+	return resultToWire[made], err
+}
+
 // Beside is the address of the process beside an engine: on the engine's VM, at the port that
 // all processes of the system listen on.
 func Beside(engine string, port int) (string, error) {
--- /dev/null
+++ b/internal/ranks/ranks_test.go
@@ -0,0 +1,40 @@
+package ranks_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/internal/ranks"
+	"github.com/apricothub/apricothub/platform"
+)
+
+// An engine leaves an order unanswered while its group is held. The reply still tells the
+// rank's state, so that the order is given again at once instead of after a further look.
+func TestAnUnansweredOrderLeavesTimeForTheState(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /apricothub/order", func(_ http.ResponseWriter, r *http.Request) {
+		// The server notices that its caller has gone once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	mux.HandleFunc("GET /apricothub/report", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"group":{"name":"g","epoch":3,"rank":1,"state":"open"},"size":4,"step":17,"held":19}`))
+	})
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), platform.EngineTime)
+	defer cancel()
+	engine := platform.NewEngine(strings.TrimPrefix(server.URL, "http://"), http.DefaultClient)
+	reply := ranks.Ask(ctx, engine, &api.RankRequest{Order: &api.RankOrder{Kind: api.RankOrder_ARM, Version: 5, Step: 19, Epoch: 3}})
+	if reply.GetResult() != api.OrderResult_ORDER_UNKNOWN || reply.GetError() == "" {
+		t.Errorf("the order counts as answered: %v", reply)
+	}
+	if s := reply.GetState(); s.GetStep() != 17 || !s.GetHeld() {
+		t.Errorf("the state is %v", s)
+	}
+}
