Hold a group by its coordinator, and follow a silent one sooner

Cause: the order that holds a group went through the process beside the engine that holds.

Change: orders to hold and to let go are given by the coordinator to the engine itself (TestNoVMBesideAnEngineHoldsTheGroup); the state is still read beside it. An entry that has missed four beats no longer coordinates, though it still counts as live for callers (TestDutyPassesOnBeforeAnEntryIsGone). The fencing number keeps two coordinators apart as before.

--- a/coord/peering/peering.go
+++ b/coord/peering/peering.go
@@ -19,6 +19,10 @@
 	// beats in a row are not lost by chance, and callers are sent to a dead entry for no
 	// longer.
 	Silent time.Duration
+	// Missed is the number of beats that an entry misses in a row before another one takes over
+	// its duty of coordinating, if that is sooner than Silent. Default 4. Nothing is lost
+	// when it still lives: engines refuse the lower fencing number.
+	Missed int
 	// Beat is the shortest time between two beats to an entry. Default 150 ms, a tenth of
 	// the time that a generation takes, so that what others have at backend servers is
 	// known while it is still there.
@@ -47,6 +51,9 @@
 	set(&c.Probe, time.Second)
 	set(&c.Unheard, 2*time.Second)
 	set(&c.Forget, time.Minute)
+	if c.Missed == 0 {
+		c.Missed = 4
+	}
 	if c.BeatsPerSecond == 0 {
 		c.BeatsPerSecond = 60
 	}
@@ -110,12 +117,34 @@
 	return p.beat != nil && now-p.heard <= t.cfg.Silent
 }
 
+// count is the number of other entries that are not silent.
+func (t *Table) count(now time.Duration) int {
+	live := 0
+	for _, p := range t.peers {
+		if t.live(p, now) {
+			live++
+		}
+	}
+	return live
+}
+
 // Live returns the last beats of the entries that are not silent, in the order of their
 // IPs.
-func (t *Table) Live(now time.Duration) []*api.PeerBeat {
+func (t *Table) Live(now time.Duration) []*api.PeerBeat { return t.heardWithin(t.cfg.Silent, now) }
+
+// Prompt returns those of the live entries that have missed no more than a few beats.
+//
+// Load: the entry that coordinates stands still with a group held. Harm prevented: callers
+// wait for it as long as for an entry that is to get no callers any more, and leave.
+func (t *Table) Prompt(now time.Duration) []*api.PeerBeat {
+	late := time.Duration(t.cfg.Missed) * t.interval(t.count(now))
+	return t.heardWithin(min(late, t.cfg.Silent), now)
+}
+
+func (t *Table) heardWithin(most, now time.Duration) []*api.PeerBeat {
 	var beats []*api.PeerBeat
 	for _, p := range t.peers {
-		if t.live(p, now) {
+		if p.beat != nil && now-p.heard <= most {
 			beats = append(beats, p.beat)
 		}
 	}
@@ -209,13 +238,7 @@
 // entries that have been silent for long. With all, as on a change that is not to wait, a
 // beat is due to every entry that is heard.
 func (t *Table) Due(now time.Duration, all bool) []string {
-	live := 0
-	for _, p := range t.peers {
-		if t.live(p, now) {
-			live++
-		}
-	}
-	interval := t.interval(live)
+	interval := t.interval(t.count(now))
 	var due []string
 	for ip, p := range t.peers {
 		if now-max(p.heard, p.known) > t.cfg.Forget {
--- a/coord/peering/peering_test.go
+++ b/coord/peering/peering_test.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -161,3 +162,24 @@
 		}
 	}
 }
+
+// The entry that coordinates stands still with a group held: another one takes the duty over
+// after four beats, long before callers are kept from it. With so many entries that beats are
+// rarer it takes as many beats, and never longer than until the entry counts as gone.
+func TestDutyPassesOnBeforeAnEntryIsGone(t *testing.T) {
+	table := New("10.0.0.1", Config{})
+	table.Heard(beat("10.0.0.2", 1, 1), 0)
+	if n := len(table.Prompt(600 * msec)); n != 1 {
+		t.Errorf("%d prompt after four beats", n)
+	}
+	if live, prompt := len(table.Live(601*msec)), len(table.Prompt(601*msec)); live != 1 || prompt != 0 {
+		t.Errorf("%d live and %d prompt after more than four beats", live, prompt)
+	}
+	many := New("10.0.0.1", Config{})
+	for i := range 400 {
+		many.Heard(beat(fmt.Sprintf("10.1.%d.%d", i/200, i%200), 1, 1), 0)
+	}
+	if n := len(many.Prompt(1200 * msec)); n != 400 {
+		t.Errorf("%d of 400 prompt after three of their beats", n)
+	}
+}
--- a/internal/experts/asking.go
+++ b/internal/experts/asking.go
@@ -114,6 +114,14 @@
 		reply := ranks.Ask(ctx, platform.NewEngine(e.Address, c.client), &api.RankRequest{Order: req.GetOrder()})
 		return reply, failureOf(reply)
 	}
+	if stopsPasses(req.GetOrder()) {
+		return c.stopOrGo(ctx, e, req.GetOrder())
+	}
+	return c.askBeside(ctx, e, req)
+}
+
+// askBeside asks the process beside an engine.
+func (c *Coordinator) askBeside(ctx context.Context, e Engine, req *api.RankRequest) (*api.RankReply, error) {
 	address, err := ranks.Beside(e.Address, c.peerPort)
 	if err != nil {
 		return nil, err
@@ -125,6 +133,27 @@
 	return reply, failureOf(reply)
 }
 
+// stopsPasses says whether an order keeps the group from beginning a pass, or ends that.
+func stopsPasses(o *api.RankOrder) bool {
+	return o.GetKind() == api.RankOrder_HOLD || o.GetKind() == api.RankOrder_GO
+}
+
+// stopOrGo gives such an order to the engine itself, and reads its state from the process
+// beside it.
+//
+// Load: a VM that stands still at any moment. Harm prevented: the one that has just passed an
+// order to hold on stands still with its engine, out of everyone's reach, and the whole group
+// with it until it wakes. A coordinator that stands still instead is followed by another.
+func (c *Coordinator) stopOrGo(ctx context.Context, e Engine, o *api.RankOrder) (*api.RankReply, error) {
+	made, failure := ranks.Order(ctx, platform.NewEngine(e.Address, c.client), o)
+	reply, err := c.askBeside(ctx, e, &api.RankRequest{})
+	if err != nil {
+		return nil, err
+	}
+	reply.Result = made
+	return reply, failure
+}
+
 // failureOf returns the failure that a reply tells of, if any.
 func failureOf(reply *api.RankReply) error {
 	if text := reply.GetError(); text != "" {
--- a/internal/experts/coordinator_test.go
+++ b/internal/experts/coordinator_test.go
@@ -36,6 +36,8 @@
 	*fakeplatform.Group
 	engines []Engine
 	silent  [groupSize]atomic.Bool
+	// held counts the orders that stop the group, or let it go, of processes beside engines.
+	held atomic.Int64
 }
 
 func newTestGroup(t *testing.T, drift int64) *testGroup {
@@ -74,6 +76,9 @@
 		if err := proto.Unmarshal(body, req); err != nil {
 			t.Error(err)
 		}
+		if stopsPasses(req.GetOrder()) {
+			g.held.Add(1)
+		}
 		answer, _ := proto.Marshal(ranks.Ask(r.Context(), platform.NewEngine(engine, http.DefaultClient), req))
 		_, _ = w.Write(answer)
 	})}
@@ -162,6 +167,18 @@
 	g.passesGoOn(t, 20)
 }
 
+// A VM stands still right after it has passed on the order that holds the group: nobody reaches
+// its engine to let the group go until it wakes. No VM beside an engine passes on such orders.
+func TestNoVMBesideAnEngineHoldsTheGroup(t *testing.T) {
+	t.Parallel()
+	g := newTestGroup(t, 200)
+	coordinate(t, g, newStore(t))
+	until(t, "several versions were in use", func() bool { return g.State().Versions >= 3 })
+	if n := g.held.Load(); n != 0 {
+		t.Errorf("%d orders to stop the group came from the VMs of its engines", n)
+	}
+}
+
 // The process beside one engine is gone. Its engine is asked directly, and the group is
 // switched all the same.
 func TestASilentProcessBesideAnEngine(t *testing.T) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -320,7 +320,7 @@
 		}
 	}
 	self := &api.PeerBeat{Ip: c.g.settings.IP, Serving: ready, Leaving: c.g.leaving.Load(), Fence: c.g.experts.Fence()}
-	v.coordinates = peering.Coordinator(self, live) == c.g.settings.IP
+	v.coordinates = peering.Coordinator(self, c.peers.Prompt(now)) == c.g.settings.IP
 	for _, b := range live {
 		v.followed = v.followed || b.GetFence() > self.GetFence()
 	}
