Switch maps at the next pass where passes are long

Cause: a switch held the group two passes ahead, and the planner took a change to cost 150 ms beside its copies.

Change: passes of 150 ms and more are held one ahead, and the time of a change follows the time of a pass. The simulation of the switch plays both.

--- a/coord/mapswitch/claim_test.go
+++ b/coord/mapswitch/claim_test.go
@@ -1,6 +1,9 @@
 package mapswitch
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // The coordinator before is still at work: it has prepared and held, arms all ranks and lets
 // go, while a new one reads rank 2 before that, rank 0 in the middle and rank 1 after. Rank 1
@@ -63,3 +66,18 @@
 		t.Errorf("after no answer: %+v", d.Orders)
 	}
 }
+
+// Passes take most of a second, as with one rank many times slower: the group is held at the
+// next one and does not go through a second such pass with the old map.
+func TestALongPassIsNotWaitedForTwice(t *testing.T) {
+	ready := Status{Epoch: 1, Step: 30, Prepared: 513}
+	for pass, want := range map[time.Duration]int64{0: 32, 60 * time.Millisecond: 32, 700 * time.Millisecond: 31} {
+		m := New(Config{})
+		m.Claimed(0, 1)
+		m.SetPass(pass)
+		d := m.Next(0, []Status{ready}, 513)
+		if len(d.Orders) != 1 || d.Orders[0].Kind != Hold || d.Orders[0].Step != want {
+			t.Errorf("passes of %v: %+v", pass, d.Orders)
+		}
+	}
+}
--- a/coord/mapswitch/mapswitch.go
+++ b/coord/mapswitch/mapswitch.go
@@ -86,10 +86,10 @@
 
 // Config holds the limits of a machine. A zero field takes its default.
 type Config struct {
-	// Lead is the number of passes between the last one begun and the one that is held.
-	// Default 2: passes take longer than the two round trips until the hold is let go, so
-	// that the group rarely comes to stand, and a slow group does not wait for its relief.
-	Lead int64
+	// Lead is the time of a pass from which on the group is held at the next one, and not at
+	// the one after it. Default 150 ms: the orders of a switch take a few round trips, so that
+	// the group does not come to stand, and does not wait for a second long pass either.
+	Lead time.Duration
 	// Again is the time after which an order is given again when the rank does not report
 	// that it was carried out. Default 250 ms, above a report's age.
 	Again time.Duration
@@ -100,6 +100,8 @@
 	cfg Config
 	// sent is when each order was given last.
 	sent map[Order]time.Duration
+	// pass is the time of a pass, zero for unknown.
+	pass time.Duration
 	// claimed is the epoch in which each rank has taken a claim.
 	claimed map[int]int64
 }
@@ -107,7 +109,7 @@
 // New returns a machine that has given no order.
 func New(cfg Config) *Machine {
 	if cfg.Lead == 0 {
-		cfg.Lead = 2
+		cfg.Lead = 150 * time.Millisecond
 	}
 	if cfg.Again == 0 {
 		cfg.Again = 250 * time.Millisecond
@@ -157,7 +159,7 @@
 	if !allPrepared(ranks, target) {
 		return d
 	}
-	step := lastStep(ranks) + m.cfg.Lead
+	step := lastStep(ranks) + m.LeadPasses()
 	if !m.holding(now) {
 		d.Orders = m.give(d.Orders, now, Order{Rank: 0, Kind: Hold, Step: step, Epoch: ranks[0].Epoch})
 	}
@@ -193,6 +195,20 @@
 	return d, all
 }
 
+// SetPass tells how long a pass takes at present; zero for unknown.
+func (m *Machine) SetPass(pass time.Duration) { m.pass = pass }
+
+// usualLead is the number of passes that a switch looks ahead.
+const usualLead = 2
+
+// LeadPasses is the number of passes between the last one begun and the one that is held.
+func (m *Machine) LeadPasses() int64 {
+	if m.pass >= m.cfg.Lead {
+		return 1
+	}
+	return usualLead
+}
+
 // holding says that an order to hold is on its way. Another one for a later pass would
 // follow it with each report.
 func (m *Machine) holding(now time.Duration) bool {
--- a/coord/mapswitch/sim_test.go
+++ b/coord/mapswitch/sim_test.go
@@ -262,6 +262,16 @@
 	}
 }
 
+// newMachine returns a machine of a group with short or long passes, which are held one or
+// several passes ahead.
+func newMachine(t *rapid.T) *Machine {
+	m := New(Config{})
+	if rapid.Bool().Draw(t, "long passes") {
+		m.SetPass(m.cfg.Lead)
+	}
+	return m
+}
+
 // Ranks are ordered one by one, some orders get lost or are carried out seconds late,
 // coordinators die in the middle and others take over, and the group breaks and opens
 // again. No pass may begin with two maps: callers would get nonsense that looks whole.
@@ -273,7 +283,7 @@
 		}
 		s.restart()
 		fence := int64(1)
-		c := &simCoordinator{machine: New(Config{Lead: 3}), fence: fence}
+		c := &simCoordinator{machine: newMachine(t), fence: fence}
 		c.renew()
 		// before is a coordinator that does not know yet that it was followed by another.
 		before := c
@@ -294,7 +304,7 @@
 				// Another coordinator takes over; what this one gave may still be on its way.
 				fence++
 				before = c
-				c = &simCoordinator{machine: New(Config{Lead: 3}), fence: fence}
+				c = &simCoordinator{machine: newMachine(t), fence: fence}
 				c.renew()
 				s.note("coordinator %d", fence)
 			case 1:
--- a/decide/balance/layers.go
+++ b/decide/balance/layers.go
@@ -88,6 +88,12 @@
 	l.seen.observe(passes, counts)
 }
 
+// SetSwitchTime sets the time of a change beside its copies.
+//
+// Load: a group whose passes take most of a second, as with one engine many times slower.
+// Harm prevented: changes of one copy each, of which every one waits for a further pass.
+func (l *Layers) SetSwitchTime(d time.Duration) { l.cfg.SwitchTime = d }
+
 // slowPace is the pace from which on a rank counts as slow. What ranks report of healthy
 // engines differs by a few hundredths, and following that would copy experts for nothing.
 const slowPace = 1.2
--- a/decide/balance/sequence_test.go
+++ b/decide/balance/sequence_test.go
@@ -100,3 +100,26 @@
 		}
 	}
 }
+
+// Each change waits for passes that take most of a second, as with one rank many times slower.
+// The first change then copies more than where passes are short, and less of the time goes by
+// between changes.
+func TestLongPassesMakeLargerChanges(t *testing.T) {
+	shape := Shape{Sets: 3, Experts: 96, Ranks: 12, Slots: 11, Spare: 4}
+	l, err := NewLayers(shape, LayersConfig{LoadTime: 80 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	rng := rand.New(rand.NewPCG(3, 1))
+	l.Observe(20, [][]float64{zipf(rng, 96, 1.3), zipf(rng, 96, 1.3), zipf(rng, 96, 1.3)})
+	paces := slices.Repeat([]float64{1}, shape.Ranks)
+	paces[5] = 12
+	l.ObservePaces(paces)
+	loads := func(change time.Duration) int {
+		l.SetSwitchTime(change)
+		return l.Plan(inTurn(shape), true).Loads
+	}
+	if short, long := loads(50*time.Millisecond), loads(900*time.Millisecond); long <= short {
+		t.Errorf("a rank copies %d experts with short passes, %d with long ones", short, long)
+	}
+}
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -78,6 +78,7 @@
 	}
 	slices.SortFunc(members, func(a, b *member) int { return int(a.reply.GetState().GetRank() - b.reply.GetState().GetRank()) })
 	passes := g.measure(members, now)
+	g.machine.SetPass(g.pass)
 	g.observe(members, passes)
 	current := g.current(members)
 	if g.target == 0 && current != nil {
@@ -208,8 +209,12 @@
 	return maps
 }
 
+// switchTime is the least time that a change of maps takes beside its copies.
+const switchTime = 150 * time.Millisecond
+
 // choose sets a target when a change of maps is worth it.
 func (g *group) choose(current []balance.LayerMap, now time.Duration) {
+	g.layers.SetSwitchTime(max(switchTime, time.Duration(g.machine.LeadPasses())*g.pass))
 	change := g.layers.Plan(current, g.pressed())
 	if change == nil {
 		return
