Give ranks that are much slower no requests

Cause: one rank several times slower still got a request at a time. All ranks wait in every pass for what it reads and writes for that one: with experts moved off a rank three times slower the passes still took 130 ms to 190 ms.

Change: what a server gets falls with the third power of its pace, down to none from 2.3 times on, while its service has others that may get work.

Tests: a slow server gets none, all slow ones get some, and one whose faster fellows are out does too (red with the check of failure domains left out).

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -75,6 +75,8 @@
 type server struct {
 	registry.Server
 	service *routing.Service
+	// leaves says that it gets no new work, since it drains or its failure domain is out.
+	leaves bool
 	// own is this process's work there, others that of the other entries.
 	own, others int
 	work        time.Duration
@@ -149,7 +151,8 @@
 		f.boundArrivals(s, now)
 		f.servers[e.ID] = s
 		weight := 1.0
-		if e.Draining || out[e.FailureDomain] {
+		s.leaves = e.Draining || out[e.FailureDomain]
+		if s.leaves {
 			weight = 0
 		} else {
 			f.registered[e.Service] += e.Concurrency
@@ -203,22 +206,33 @@
 
 // limit is the number of requests to have at a server at once.
 //
-// Load: one engine of a lock-step group that is many times slower. Harm prevented: each of
-// its own requests makes all ranks wait in every pass. It gets the fewer the slower it is,
-// down to one; its part of the experts is moved elsewhere, too.
+// Load: one engine of a lock-step group that is several times slower. Harm prevented: all
+// ranks wait in every pass for what it reads and writes for its own requests. It gets the
+// fewer the slower it is, none from some two times on; its part of the experts is moved
+// elsewhere, too.
 func (s *server) limit() int {
-	return max(1, int(float64(s.Concurrency)/(max(s.pace, 1)*max(s.pace, 1))))
+	slower := max(s.pace, 1)
+	return int(float64(s.Concurrency) / (slower * slower * slower))
+}
+
+// spared says whether a server is too slow for any request. When all of its service are, none
+// is: slow answers are better than none.
+func (s *server) spared(paced map[string]bool) bool {
+	return s.limit() == 0 && paced[s.Service]
 }
 
 // refresh tells the placement what is known of each server. The caller holds the lock.
 func (f *fleet) refresh(now time.Duration) {
 	out := make(map[string]int)
 	all := make(map[string]int)
+	// paced are the services that have a server which is fast enough.
+	paced := make(map[string]bool)
 	for id, s := range f.servers {
 		all[s.Service]++
 		if f.judge.Out(id, now) {
 			out[s.Service]++
 		}
+		paced[s.Service] = paced[s.Service] || s.limit() > 0 && !s.closed && !s.leaves
 	}
 	for id, s := range f.servers {
 		if s.arrivals != nil {
@@ -229,7 +243,7 @@
 		})
 		// When all of a service fail, something else is at fault, and none is worse than
 		// the others.
-		f.table.Suspect(id, s.closed || f.shut[s.Service] || f.judge.Out(id, now) && out[s.Service] < all[s.Service])
+		f.table.Suspect(id, s.closed || s.spared(paced) || f.shut[s.Service] || f.judge.Out(id, now) && out[s.Service] < all[s.Service])
 	}
 	f.admit(now)
 }
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -231,3 +231,38 @@
 		t.Error("the service was shut")
 	}
 }
+
+// One rank of a lock-step group is five times slower: all ranks would wait in every pass for
+// what it does for requests of its own. It gets none while others can; with all as slow, each
+// gets some.
+func TestASlowServerGetsNoRequests(t *testing.T) {
+	f := newTestFleet(4, 12, 1, 0)
+	slow := map[string]experts.Pace{"i-1": {Slower: 5}}
+	f.setOthers(nil, slow, 0)
+	for range 30 {
+		if id, code := f.pickFor(0); code == api.ResultCode_OK && id == "i-1" {
+			t.Fatal("a request went to the slow server")
+		}
+	}
+	for id := range f.servers {
+		slow[id] = experts.Pace{Slower: 5}
+	}
+	all := newTestFleet(4, 12, 1, 0)
+	all.setOthers(nil, slow, 0)
+	if _, code := all.pickFor(0); code != api.ResultCode_OK {
+		t.Errorf("with all servers slow: %v", code)
+	}
+}
+
+// Operators take out the failure domain of the only fast server. The slow one is all that is
+// left, and callers wait longer instead of being refused.
+func TestASlowServerServesWhenTheFastOnesAreOut(t *testing.T) {
+	f := newTestFleet(2, 12, 1, 0)
+	both := entries(2, 12)
+	both[0].FailureDomain = "out"
+	f.set(both, map[string]bool{"out": true}, service(0), census{1, 1}, 0)
+	f.setOthers(nil, map[string]experts.Pace{"i-1": {Slower: 5}}, 0)
+	if id, code := f.pickFor(0); code != api.ResultCode_OK || id != "i-1" {
+		t.Errorf("%q, %v", id, code)
+	}
+}
