Follow a silent coordinator early only where engines compare numbers

Without fencing two coordinators at once are not safe, so that there an entry still coordinates until it counts as gone.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -320,7 +320,7 @@
 		}
 	}
 	self := &api.PeerBeat{Ip: c.g.settings.IP, Serving: ready, Leaving: c.g.leaving.Load(), Fence: c.g.experts.Fence()}
-	v.coordinates = peering.Coordinator(self, c.peers.Prompt(now)) == c.g.settings.IP
+	v.coordinates = peering.Coordinator(self, c.mayCoordinate(live, now)) == c.g.settings.IP
 	for _, b := range live {
 		v.followed = v.followed || b.GetFence() > self.GetFence()
 	}
@@ -342,6 +342,15 @@
 	c.g.view.Store(v)
 }
 
+// mayCoordinate returns the other entries that may coordinate. Where engines compare fencing
+// numbers a silent one is followed early: should it live, its orders are refused.
+func (c *control) mayCoordinate(live []*api.PeerBeat, now time.Duration) []*api.PeerBeat {
+	if c.g.settings.Bounds.Fencing {
+		return c.peers.Prompt(now)
+	}
+	return live
+}
+
 // engines returns the engines that have experts. Those that drain or whose failure domain is
 // out are still ranks of their group.
 func (c *control) engines() []experts.Engine {
