Reset the connection of a request that is given up

Cause: once its caller had left, or its time was up, a request's connection was closed in order: behind the request. A backend server that stood still, or was cut off for a while, then found the request and ran it seconds later.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -40,12 +40,12 @@
 
 // RoundTrip writes a request once and reads the head of its answer. matches says whether an
 // answer is that of this request; others are passed over, since a faulty backend server may
-// answer twice. Once ctx ends the connection is closed. The caller reads the body and calls
+// answer twice. Once ctx ends the connection is reset. The caller reads the body and calls
 // Release.
 //
 // An error does not say that the request did not run.
 func (c *Conn) RoundTrip(ctx context.Context, req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, c.abort)
 	resp, err := c.roundTrip(req, matches)
 	if err != nil {
 		stop()
@@ -55,6 +55,18 @@
 	return resp, nil
 }
 
+// abort resets the connection.
+//
+// Load: a backend server whose VM stands still, or is cut off for a while. Harm prevented: an
+// orderly close comes behind the request, which waits there and runs seconds after its caller
+// has left, or has been told that it failed.
+func (c *Conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // body ends the watch over the context with the body.
 type body struct {
 	io.ReadCloser
