--- a/decide/balance/improve.go
+++ b/decide/balance/improve.go
@@ -14,17 +14,7 @@
 // exchange of one of its replicas for a lighter one of another rank. A round
 // that finds nothing better ends the search.
 func Improve(p *Placement, d Demand, target float64, moves int) *Placement {
-	return ImproveWithin(p, d, target, moves, 0)
-}
-
-// ImproveWithin is Improve for ranks that take at most so many new experts in one change;
-// zero means no bound.
-//
-// Load: engines that hold the old and the new map at once, with little memory to spare. Harm
-// prevented: a change that the busiest ranks refuse, after the others have copied theirs.
-func ImproveWithin(p *Placement, d Demand, target float64, moves, perRank int) *Placement {
 	s := newSearch(p.Clone(), d)
-	s.bound(p, perRank, nil)
 	for moves > 0 {
 		hot, peak := s.busiest()
 		if peak <= target*s.ideal {
@@ -51,49 +41,8 @@
 	// heaviest are, by expert, the two busiest of its holders once one of its replicas
 	// is given up.
 	heaviest []heaviest
-	// origin is where the search began, perRank the most experts that a rank may hold which
-	// it did not hold there; zero for no bound.
-	origin  *Placement
-	perRank int
-	// copies is what ranks copy over all sets of layers; nil for no bound.
-	copies *copies
-	// idle is an expert that nobody chooses and that is not copied; -1 for none.
-	idle int32
-}
-
-// copies bounds what each rank copies over several placements together.
-type copies struct {
-	// most is the bound of each rank, of is what each rank copies now.
-	most int
-	of   []int
-}
-
-// bound bounds the experts that ranks may copy.
-func (s *search) bound(origin *Placement, perRank int, c *copies) {
-	s.origin, s.perRank, s.copies = origin, perRank, c
-}
-
-// mayLoad says whether a rank may come to hold an expert.
-func (s *search) mayLoad(rank int, expert int32) bool {
-	if expert == s.idle || s.perRank == 0 && s.copies == nil || slices.Contains(s.origin.rank(rank), expert) {
-		return true
-	}
-	if s.copies != nil && s.copies.of[rank] >= s.copies.most {
-		return false
-	}
-	return s.perRank == 0 || s.loaded(rank) < s.perRank
-}
-
-// loaded counts the experts that a rank holds and did not hold at the origin.
-func (s *search) loaded(rank int) int {
-	n := 0
-	held, before := s.p.rank(rank), s.origin.rank(rank)
-	for i, e := range held {
-		if e != s.idle && !slices.Contains(before, e) && !slices.Contains(held[:i], e) {
-			n++
-		}
-	}
-	return n
+	// limit bounds the experts that ranks copy; nil for no bound.
+	limit *copyLimit
 }
 
 // heaviest holds the times of an expert's two busiest ranks, as they are when one
@@ -113,7 +62,6 @@
 		times:      p.Times(d),
 		heaviest:   make([]heaviest, p.Experts),
 		ideal:      d.ideal(p.Ranks),
-		idle:       -1,
 	}
 	s.findHeaviest()
 	return s
@@ -239,7 +187,7 @@
 		}
 		after := s.times[rank] - s.pace[rank]*(s.unitLoad(spare)-added)
 		c := change{slot: slot, expert: expert, other: -1, cost: 1, value: min(relief, peak-after)}
-		if c.value <= minGain*s.ideal || !c.better(*best) || !s.mayLoad(rank, expert) {
+		if c.value <= minGain*s.ideal || !c.better(*best) || !s.limit.allows(s.p, rank, expert) {
 			continue
 		}
 		// Only now the costly part: what the holders of the spare must bear.
@@ -267,7 +215,7 @@
 			continue
 		}
 		c := change{slot: slot, expert: lighter, other: -1, cost: 1, value: min(diff, room)}
-		if c.value > minGain*s.ideal && c.better(*best) && s.mayLoad(hot, lighter) {
+		if c.value > minGain*s.ideal && c.better(*best) && s.limit.allows(s.p, hot, lighter) {
 			*best = c
 		}
 	}
@@ -289,7 +237,7 @@
 		}
 		value := min(s.pace[hot]*diff, peak-s.times[rank]-s.pace[rank]*diff)
 		c := change{slot: slot, expert: lighter, other: other, cost: 2, value: value, exchange: true}
-		if value > minGain*s.ideal && c.better(*best) && s.mayLoad(hot, lighter) && s.mayLoad(rank, expert) {
+		if value > minGain*s.ideal && c.better(*best) && s.limit.allows(s.p, hot, lighter) && s.limit.allows(s.p, rank, expert) {
 			*best = c
 		}
 	}
@@ -314,14 +262,10 @@
 // put stands an expert in a slot in place of another.
 func (s *search) put(slot int, expert int32) {
 	rank := slot / s.p.SlotsPerRank
-	if s.copies != nil {
-		s.copies.of[rank] -= s.loaded(rank)
-	}
+	s.limit.count(s.p, rank, -1)
 	old := s.p.Slots[slot]
 	s.replicas[old]--
 	s.p.Slots[slot] = expert
 	s.replicas[expert]++
-	if s.copies != nil {
-		s.copies.of[rank] += s.loaded(rank)
-	}
+	s.limit.count(s.p, rank, 1)
 }
--- a/decide/balance/sequence.go
+++ b/decide/balance/sequence.go
@@ -22,8 +22,7 @@
 	q := &sequence{target: target, copies: copies{of: make([]int, from[0].Ranks)}}
 	for i, p := range from {
 		s := newSearch(p.Clone(), demands[i])
-		s.idle = idle
-		s.bound(p, perRank, &q.copies)
+		s.limit = &copyLimit{origin: p, perRank: perRank, idle: idle, all: &q.copies}
 		q.sets = append(q.sets, s)
 	}
 	return q
