--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -291,21 +291,6 @@
 	return others
 }
 
-// pacesOf returns the backend servers that are slow or closed, by the word of the one that
-// coordinates.
-func (c *control) pacesOf(live []*api.PeerBeat) map[string]experts.Pace {
-	if c.g.experts.Fence() != 0 {
-		return c.g.experts.Paces()
-	}
-	paces := make(map[string]experts.Pace)
-	for _, b := range live {
-		for _, p := range b.GetPaces() {
-			paces[p.GetId()] = experts.Pace{Slower: float64(p.GetPace()), Closed: p.GetClosed()}
-		}
-	}
-	return paces
-}
-
 // publish makes the view that traffic goes by.
 func (c *control) publish(live []*api.PeerBeat, now time.Duration) {
 	table := c.inForce(now)
@@ -342,29 +327,6 @@
 	c.g.view.Store(v)
 }
 
-// mayCoordinate returns the other entries that may coordinate. Where engines compare fencing
-// numbers a silent one is followed early: should it live, its orders are refused.
-func (c *control) mayCoordinate(live []*api.PeerBeat, now time.Duration) []*api.PeerBeat {
-	if c.g.settings.Bounds.Fencing {
-		return c.peers.Prompt(now)
-	}
-	return live
-}
-
-// engines returns the engines that have experts. Those that drain or whose failure domain is
-// out are still ranks of their group.
-func (c *control) engines() []experts.Engine {
-	var engines []experts.Engine
-	for _, e := range c.registry.Entries() {
-		service := c.table.Service(e.Service)
-		if service == nil || service.Engine == nil || service.Engine.Experts == 0 {
-			continue
-		}
-		engines = append(engines, experts.Engine{ID: e.ID, Address: e.Address, Shape: service.Engine, Pause: c.table.Pause(e.Service)})
-	}
-	return engines
-}
-
 // mostOthers bounds the entries that a beat names, so that a beat fits into one datagram.
 const mostOthers = 8
 
--- /dev/null
+++ b/internal/gateway/coordinate.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/internal/experts"
+)
+
+// mayCoordinate returns the other entries that may coordinate. Where engines compare fencing
+// numbers a silent one is followed early: should it live, its orders are refused.
+func (c *control) mayCoordinate(live []*api.PeerBeat, now time.Duration) []*api.PeerBeat {
+	if c.g.settings.Bounds.Fencing {
+		return c.peers.Prompt(now)
+	}
+	return live
+}
+
+// engines returns the engines that have experts. Those that drain or whose failure domain is
+// out are still ranks of their group.
+func (c *control) engines() []experts.Engine {
+	var engines []experts.Engine
+	for _, e := range c.registry.Entries() {
+		service := c.table.Service(e.Service)
+		if service == nil || service.Engine == nil || service.Engine.Experts == 0 {
+			continue
+		}
+		engines = append(engines, experts.Engine{ID: e.ID, Address: e.Address, Shape: service.Engine, Pause: c.table.Pause(e.Service)})
+	}
+	return engines
+}
+
+// pacesOf returns the backend servers that are slow or closed, by the word of the one that
+// coordinates.
+func (c *control) pacesOf(live []*api.PeerBeat) map[string]experts.Pace {
+	if c.g.experts.Fence() != 0 {
+		return c.g.experts.Paces()
+	}
+	paces := make(map[string]experts.Pace)
+	for _, b := range live {
+		for _, p := range b.GetPaces() {
+			paces[p.GetId()] = experts.Pace{Slower: float64(p.GetPace()), Closed: p.GetClosed()}
+		}
+	}
+	return paces
+}
