Wait until a paused process stands still, in tests

Cause: TestProcessFaults hung in a landing beside other work. A signal to stop takes effect on other processors a moment later: the process that the test took for paused answered, the test consumed that answer and then waited for it. 35 of 160 runs beside a busy machine failed so.

Every other test that pauses processes gets what it asks for, too.

--- a/test/harness/harness_test.go
+++ b/test/harness/harness_test.go
@@ -132,7 +132,7 @@
 	}()
 	select {
 	case err := <-answered:
-		t.Errorf("a paused process answered: %v", err)
+		t.Fatalf("a paused process answered: %v", err)
 	case <-time.After(200 * time.Millisecond):
 	}
 	s.Continue()
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -123,8 +123,12 @@
 	_ = cmd.Process.Signal(sig)
 }
 
-// Pause stops the process in the middle of whatever it does (SIGSTOP).
-func (p *Process) Pause() { p.Signal(syscall.SIGSTOP) }
+// Pause stops the process in the middle of whatever it does (SIGSTOP), and returns when it
+// stands still.
+func (p *Process) Pause() {
+	p.Signal(syscall.SIGSTOP)
+	awaitStopped(p.PID())
+}
 
 // Continue lets a paused process go on (SIGCONT).
 func (p *Process) Continue() { p.Signal(syscall.SIGCONT) }
