Let many entries that start at once send at the servers' rate

Cause: with 45 gateways each may send a server that bears 23 a second one request in two seconds. And then each of the 45 could send one in the same moment, above the 39 that a cold server bears.

Change: a share of less than one request a second begins at a random moment by server, no sooner than a second after the start, spread over the time in which it earns one. Small deployments have larger shares and are as before.

TestManyEntriesStartAtOnce: red before both by the bound (45 of 39.5 in a second) and by the wait (2 s).

--- a/decide/arrivals/arrivals.go
+++ b/decide/arrivals/arrivals.go
@@ -46,6 +46,10 @@
 	entries int
 	limiter *rate.Limiter
 	looked  time.Duration
+	// phase, from 0 to 1, is this entry's place among those whose part is less than one request
+	// a second; opens is when such a share begins, zero once it has begun.
+	phase float64
+	opens time.Duration
 }
 
 // NewShare returns the share of one of so many entries.
@@ -53,8 +57,10 @@
 // Load: an entry that is killed and started again and again, or a whole herd of them. Harm
 // prevented: each start brings a burst on top of what the process before has just sent. A
 // share begins with nothing, so that both together send what one would have.
-func NewShare(b Bound, entries int, now time.Duration) *Share {
-	s := &Share{bound: b, entries: entries, looked: now}
+//
+// phase is a random number from 0 to 1.
+func NewShare(b Bound, entries int, phase float64, now time.Duration) *Share {
+	s := &Share{bound: b, entries: entries, phase: phase, looked: now}
 	s.limiter = rate.NewLimiter(s.parts())
 	s.empty(now)
 	return s
@@ -92,12 +98,38 @@
 // Allow says whether one more request may go out now, and counts it.
 func (s *Share) Allow(now time.Duration) bool {
 	s.Look(now)
+	if now < s.opens {
+		return false
+	}
+	if s.opens > 0 {
+		s.open(now)
+	}
 	return s.limiter.AllowN(moment(now), 1)
 }
 
+// empty takes what a share has saved up, and closes one of less than a request a second.
+//
+// Load: so many entries that each may send a server one request in two seconds, and all start
+// at once. Harm prevented: none can send any server anything for two seconds, though all
+// servers are idle, and then all send each server one in the same moment. Instead each begins
+// at a moment of its own, by server: no sooner than what the process before has sent is a
+// second old, and spread over the time in which each earns one request, so that they come at
+// the server's rate and there is soon a server that an entry may send to.
 func (s *Share) empty(now time.Duration) {
 	at := moment(now)
 	s.limiter.AllowN(at, int(s.limiter.TokensAt(at)))
+	if limit := float64(s.limiter.Limit()); limit > 0 && limit < 1 {
+		s.opens = now + time.Second + time.Duration(s.phase/limit*float64(time.Second))
+	}
+}
+
+// open begins a share with one request.
+func (s *Share) open(now time.Duration) {
+	s.opens = 0
+	limit, burst := s.parts()
+	s.limiter = rate.NewLimiter(limit, burst)
+	at := moment(now)
+	s.limiter.AllowN(at, burst-1)
 }
 
 // epoch makes moments of times since the process started, for the rate limiter.
--- a/decide/arrivals/arrivals_test.go
+++ b/decide/arrivals/arrivals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -25,12 +26,13 @@
 	// pressFrom is when callers come; until then the entries only look.
 	pressFrom time.Duration
 	sent      []time.Duration
+	rng       *rand.Rand
 }
 
 func newWorld(b Bound, entries int) *world {
-	w := &world{bound: b, asleep: map[int]bool{}}
+	w := &world{bound: b, asleep: map[int]bool{}, rng: rand.New(rand.NewPCG(1, uint64(entries)))}
 	for range entries {
-		w.shares = append(w.shares, NewShare(b, entries, 0))
+		w.shares = append(w.shares, NewShare(b, entries, w.rng.Float64(), 0))
 	}
 	return w
 }
@@ -74,7 +76,7 @@
 		"all are killed each 240 ms": func(w *world, now time.Duration) {
 			if now > 0 && now%(240*msec) == 0 {
 				for i := range w.shares {
-					w.shares[i] = NewShare(w.bound, len(w.shares), now)
+					w.shares[i] = NewShare(w.bound, len(w.shares), w.rng.Float64(), now)
 				}
 			}
 		},
@@ -82,7 +84,7 @@
 			n := len(w.shares)
 			switch now {
 			case 4 * time.Second:
-				w.shares = append(w.shares, NewShare(w.bound, n+1, now))
+				w.shares = append(w.shares, NewShare(w.bound, n+1, w.rng.Float64(), now))
 			case 4*time.Second + 200*msec:
 				for _, s := range w.shares {
 					s.Set(w.bound, n, now)
@@ -143,3 +145,34 @@
 		t.Errorf("%d requests within a second, %v at most", n, low.most()+4)
 	}
 }
+
+// So many entries start at once that each may send a server one request in two seconds. One
+// server that gets all of their callers bears it; and with many idle servers an entry finds one
+// for the few requests that wait there long before their callers leave.
+func TestManyEntriesStartAtOnce(t *testing.T) {
+	bound := Bound{Rate: 23, Over: 1.5, Slack: 5}
+	const entries, servers = 45, 72
+	w := newWorld(bound, entries)
+	w.run(0, 2*time.Second+950*msec, func(time.Duration) {})
+	if n := w.busiest(); float64(n) > bound.most() {
+		t.Errorf("%d requests within a second, %v at most", n, bound.most())
+	}
+	rng := rand.New(rand.NewPCG(2, 2))
+	for range entries {
+		var shares []*Share
+		for range servers {
+			shares = append(shares, NewShare(bound, entries, rng.Float64(), 0))
+		}
+		waiting, now := 5, time.Duration(0)
+		for ; waiting > 0 && now < 3*time.Second; now += 20 * msec {
+			for _, s := range shares {
+				if waiting > 0 && s.Allow(now) {
+					waiting--
+				}
+			}
+		}
+		if now > 1400*msec {
+			t.Errorf("five requests waited for %v with %d idle servers", now, servers)
+		}
+	}
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -44,6 +44,7 @@
 	bounds bounds
 
 	mu      sync.Mutex
+	rng     *rand.Rand
 	table   *place.Table
 	judge   *eject.Judge
 	servers map[string]*server
@@ -91,6 +92,7 @@
 func newFleet(b bounds, rng *rand.Rand) *fleet {
 	return &fleet{
 		bounds: b,
+		rng:    rng,
 		// Reports here are the other entries' own counts, a fraction of a second old.
 		table:    place.NewTable(rng, place.Config{QueueRoom: queueRoom, FullTrust: true}),
 		judge:    eject.New(eject.Config{}),
@@ -177,7 +179,7 @@
 	}
 	bound := arrivals.Bound{Rate: s.service.ColdRate, Over: f.bounds.coldOver, Slack: f.bounds.coldSlack}
 	if s.arrivals == nil {
-		s.arrivals = arrivals.NewShare(bound, f.mayLive, now)
+		s.arrivals = arrivals.NewShare(bound, f.mayLive, f.rng.Float64(), now)
 		return
 	}
 	s.arrivals.Set(bound, f.mayLive, now)
