Bound the calls that meet a store which does not answer

Cause: in an outage nobody has fresh word of the store, so that every entry reads for itself, twice in 0.4 s.

Change: entries that are not their failure domain's reader make 30 calls a second together for each topic; the readers call as before, and with 12 entries and fewer so do all (TestProbesOfAnOutageAreBounded).

--- a/internal/gateway/away_test.go
+++ b/internal/gateway/away_test.go
@@ -121,3 +121,22 @@
 		})
 	}
 }
+
+// In an outage of the store every entry reads for itself. With hundreds of entries their calls
+// would meet it all at once on its return; the reader of each failure domain calls as often as
+// ever, so that its return is noticed, and with a few entries all do.
+func TestProbesOfAnOutageAreBounded(t *testing.T) {
+	for _, entries := range []int{1, 7, 12} {
+		if pause := probePause(false, entries); pause > retryMost {
+			t.Errorf("%d entries: a pause of %v", entries, pause)
+		}
+	}
+	for _, entries := range []int{45, 490} {
+		if rate := float64(entries) / probePause(false, entries).Seconds(); rate > probesPerSecond+1 {
+			t.Errorf("%d entries: %.0f calls a second", entries, rate)
+		}
+		if pause := probePause(true, entries); pause > retryMost {
+			t.Errorf("%d entries: the reader of a failure domain pauses for %v", entries, pause)
+		}
+	}
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -29,6 +29,7 @@
 	serversEach = 700 * time.Millisecond
 	// retryFirst and retryMost bound the time between calls while the store does not answer;
 	// it is short, since registrations and configuration wait to be read when it is back.
+	// Where there are many entries those that others read for take longer.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
 	// idleEach is the time between two reads of an entry that others read for: it heals what
@@ -64,6 +65,8 @@
 	// needed says whether this entry is to read the topic now. Without need it reads once in
 	// idleEach.
 	needed func() bool
+	// most returns the longest time between two calls while the store does not answer.
+	most   func() time.Duration
 	logger log.Logger
 	out    chan<- news
 }
@@ -87,7 +90,7 @@
 					"result", result.Label(api.ResultCode_LOG_UNAVAILABLE), "err", err)
 			}
 			wait = pause
-			pause = min(2*pause, retryMost)
+			pause = min(2*pause, f.most())
 		} else {
 			if away != 0 {
 				_ = level.Info(f.logger).Log("msg", "The store answers again.", "topic", f.topic, "away_ms", (n.at - away).Milliseconds())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,8 @@
 	leaving atomic.Bool
 	// reads says that this entry reads the store, for itself or for others too.
 	reads atomic.Bool
+	// probeMost is the longest time between two calls while the store does not answer, ns.
+	probeMost atomic.Int64
 
 	// What the control goroutine takes in.
 	news          chan news
@@ -183,7 +185,12 @@
 }
 
 func (g *Gateway) follower(topic string, wait, each time.Duration) *follower {
-	return &follower{topic: topic, store: g.store, wait: wait, each: each, needed: g.reads.Load, logger: logging.Part(g.logger, "store"), out: g.news}
+	return &follower{topic: topic, store: g.store, wait: wait, each: each, needed: g.reads.Load, most: g.probePause, logger: logging.Part(g.logger, "store"), out: g.news}
+}
+
+// probePause is the longest time between two calls while the store does not answer.
+func (g *Gateway) probePause() time.Duration {
+	return max(retryMost, time.Duration(g.probeMost.Load()))
 }
 
 func (g *Gateway) listenBeats() error {
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -26,7 +26,9 @@
 // chooseReads decides whether this entry reads the store: as the one for its failure domain,
 // while it does not know enough, or while nobody it hears has fresh word of both topics.
 func (c *control) chooseReads(self *api.PeerBeat, live []*api.PeerBeat, now time.Duration) {
-	reads := peering.Reads(self, live) || !c.operators.Ready() || !c.servers.Ready()
+	duty := peering.Reads(self, live)
+	c.g.probeMost.Store(int64(probePause(duty, len(live)+1)))
+	reads := duty || !c.operators.Ready() || !c.servers.Ready()
 	operators, servers := freshest(live)
 	reads = reads || operators > freshFor || servers > freshFor
 	if !reads {
@@ -37,6 +39,23 @@
 	c.g.reads.Store(reads)
 }
 
+// probesPerSecond bounds the calls a second of all entries together that are not their failure
+// domain's reader, for each topic, while the store does not answer.
+const probesPerSecond = 30
+
+// probePause is the time between two calls of an entry while the store does not answer.
+//
+// Load: an outage of the store, in which nobody has fresh word and every entry reads for itself.
+// Harm prevented: calls that grow with the entries, and meet a store that has just come back.
+// The readers of the failure domains notice its return as soon as before, and the others hear
+// of it from them.
+func probePause(duty bool, entries int) time.Duration {
+	if duty {
+		return 0
+	}
+	return time.Duration(float64(entries) / probesPerSecond * float64(time.Second))
+}
+
 // storeAway says that the store answers nobody, so that registrations may lapse although their
 // servers live.
 //
