--- a/decide/arrivals/arrivals.go
+++ b/decide/arrivals/arrivals.go
@@ -46,8 +46,8 @@
 	entries int
 	limiter *rate.Limiter
 	looked  time.Duration
-	// phase, from 0 to 1, is this entry's place among those whose part is less than one request
-	// a second; opens is when such a share begins, zero once it has begun.
+	// phase, from 0 to 1, is how late a share of less than one request a second begins; opens is
+	// when it does, zero once it has begun.
 	phase float64
 	opens time.Duration
 }
--- a/decide/balance/layers.go
+++ b/decide/balance/layers.go
@@ -23,15 +23,12 @@
 type LayersConfig struct {
 	// Trigger is the skew past which a change of maps is looked for, Target the one at
 	// which the search stops, while passes are short against the pauses that callers
-	// accept. Defaults 1.6 and 1.25: callers notice no less. A lower skew copies more
-	// experts, each of which makes passes longer while it is under way, and is worn out by
-	// the next drift: with 1.35 and 1.2 three quarters more were copied, and half a percent
-	// fewer requests served in time.
+	// accept. Defaults 1.6 and 1.25: callers notice no less, and each copy makes passes
+	// longer while it is under way and is worn out by the next change of popularity.
 	Trigger, Target float64
 	// PressedTrigger and PressedTarget are the same while passes are long, as in a burst:
 	// then each part of a pass decides whether streams are on time and requests wait.
-	// Defaults 1.2 and 1.1, for the same reason: with 1.12 and 1.03 each change copies as
-	// many experts as ranks take, and takes twice as long.
+	// Defaults 1.2 and 1.1.
 	PressedTrigger, PressedTarget float64
 	// LoadTime is the time in which a rank copies one expert. Zero counts copies as free.
 	LoadTime time.Duration
@@ -61,12 +58,13 @@
 type Layers struct {
 	shape Shape
 	cfg   LayersConfig
-	seen  popularity
+	// seen is the popularity of the experts.
+	seen popularity
 	// pace is how many times slower than usual each rank is; nil when all are alike.
 	pace []float64
 }
 
-// NewLayers returns a plan for a group of which nothing is known yet.
+// NewLayers returns a planner for a group of which nothing is known yet.
 func NewLayers(shape Shape, cfg LayersConfig) (*Layers, error) {
 	if _, err := NewPlacement(shape.Experts, shape.Ranks, shape.Slots); err != nil {
 		return nil, err
