--- a/decide/balance/sequence.go
+++ b/decide/balance/sequence.go
@@ -28,6 +28,9 @@
 	return q
 }
 
+// stepMoves is the most moves of one step of the search: an exchange takes two.
+const stepMoves = 2
+
 // extend lets each rank copy one expert more and improves the placements as far as that
 // allows. It returns false when nothing became better.
 func (q *sequence) extend() bool {
@@ -41,7 +44,7 @@
 		}
 		s := q.sets[at]
 		hot, peak := s.busiest()
-		c := s.bestChange(hot, peak, 2)
+		c := s.bestChange(hot, peak, stepMoves)
 		if c.cost == 0 {
 			ended[at] = true
 			continue
