--- a/coord/peering/peering.go
+++ b/coord/peering/peering.go
@@ -113,9 +113,9 @@
 	return true
 }
 
-func (t *Table) live(p *peer, now time.Duration) bool {
-	return p.beat != nil && now-p.heard <= t.cfg.Silent
-}
+func (t *Table) live(p *peer, now time.Duration) bool { return p.heardWithin(t.cfg.Silent, now) }
+
+func (p *peer) heardWithin(most, now time.Duration) bool { return p.beat != nil && now-p.heard <= most }
 
 // count is the number of other entries that are not silent.
 func (t *Table) count(now time.Duration) int {
@@ -144,7 +144,7 @@
 func (t *Table) heardWithin(most, now time.Duration) []*api.PeerBeat {
 	var beats []*api.PeerBeat
 	for _, p := range t.peers {
-		if p.beat != nil && now-p.heard <= most {
+		if p.heardWithin(most, now) {
 			beats = append(beats, p.beat)
 		}
 	}
--- a/decide/balance/balancer.go
+++ b/decide/balance/balancer.go
@@ -95,31 +95,19 @@
 // new and place for neither, so it is dropped when what was just seen is too far from
 // it.
 func (b *Balancer) Observe(now time.Duration, tokens []float64) {
-	sum := 0.0
-	for _, n := range tokens {
-		sum += n
-	}
-	if sum == 0 {
+	sample := shares(tokens)
+	if sample == nil {
 		return
 	}
 	keep := math.Exp(-float64(now-b.observed) / float64(b.cfg.Average))
-	if !b.seen || b.distance(tokens, sum) > b.cfg.Apart {
+	if !b.seen || apart(b.popularity, sample) > b.cfg.Apart {
 		keep = 0
 	}
 	b.seen = true
 	b.observed = now
-	for i, n := range tokens {
-		b.popularity[i] = keep*b.popularity[i] + (1-keep)*n/sum
-	}
-}
-
-// distance is how far the tokens are from the average, in parts of all tokens.
-func (b *Balancer) distance(tokens []float64, sum float64) float64 {
-	distance := 0.0
-	for i, n := range tokens {
-		distance += math.Abs(b.popularity[i] - n/sum)
+	for i, part := range sample {
+		b.popularity[i] = keep*b.popularity[i] + (1-keep)*part
 	}
-	return distance / 2
 }
 
 // Popularity returns what the decisions go by, as parts of all tokens.
--- a/decide/balance/bench_test.go
+++ b/decide/balance/bench_test.go
@@ -26,10 +26,7 @@
 				b.Fatal(err)
 			}
 			rng := rand.New(rand.NewPCG(1, 1))
-			counts := make([][]float64, c.shape.Sets)
-			for i := range counts {
-				counts[i] = zipf(rng, c.shape.Experts, c.skew)
-			}
+			counts := zipfCounts(rng, c.shape, c.skew)
 			l.Observe(20, counts)
 			maps := inTurn(c.shape)
 			for b.Loop() {
--- a/decide/balance/layers.go
+++ b/decide/balance/layers.go
@@ -147,22 +147,37 @@
 	if l.Skew(current) <= trigger {
 		return nil
 	}
+	plans := l.plans(current, target)
+	at := l.timing().cheapest(plans)
+	if at == 0 {
+		return nil
+	}
+	return &Change{
+		Maps: l.layerMaps(plans[at]), Before: plans[0].stretch, After: plans[at].stretch, Loads: plans[at].copies,
+	}
+}
+
+// plans returns what the maps in use can be changed to. They must be of the group's shape.
+func (l *Layers) plans(current []LayerMap, target float64) []plan {
 	from, demands := make([]*Placement, l.shape.Sets), make([]Demand, l.shape.Sets)
 	for i := range from {
 		from[i], _ = l.placement(current[i])
 		demands[i] = l.demand(i)
 	}
-	plans := newSequence(from, demands, l.shape.Spare, target, int32(l.shape.Experts)).plans(l.mostCopies())
-	t := timing{copy: l.cfg.LoadTime, change: l.cfg.SwitchTime, horizon: l.cfg.Horizon}
-	at := t.cheapest(plans)
-	if at == 0 {
-		return nil
-	}
-	c := &Change{Before: plans[0].stretch, After: plans[at].stretch, Loads: plans[at].copies}
-	for _, p := range plans[at].placements {
-		c.Maps = append(c.Maps, l.layerMap(p))
+	return newSequence(from, demands, l.shape.Spare, target, int32(l.shape.Experts)).plans(l.mostCopies())
+}
+
+func (l *Layers) timing() timing {
+	return timing{copy: l.cfg.LoadTime, change: l.cfg.SwitchTime, horizon: l.cfg.Horizon}
+}
+
+// layerMaps are the maps of a plan, by set of layers.
+func (l *Layers) layerMaps(p plan) []LayerMap {
+	maps := make([]LayerMap, 0, len(p.placements))
+	for _, placement := range p.placements {
+		maps = append(maps, l.layerMap(placement))
 	}
-	return c
+	return maps
 }
 
 // mostCopies is the most experts that a rank can be asked to copy: what it takes, and what is
--- a/decide/balance/layers_test.go
+++ b/decide/balance/layers_test.go
@@ -30,6 +30,15 @@
 	return counts
 }
 
+// zipfCounts draws the popularity of the experts of all sets of layers.
+func zipfCounts(rng *rand.Rand, s Shape, skew float64) [][]float64 {
+	counts := make([][]float64, s.Sets)
+	for i := range counts {
+		counts[i] = zipf(rng, s.Experts, skew)
+	}
+	return counts
+}
+
 // A group starts with experts in turn and a popularity under which its busiest rank has
 // several times the mean. Ranks take three new experts in a change. Within a few changes the
 // passes take little more than with evenly busy ranks, and no change asks for more than the
@@ -44,10 +53,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		counts := make([][]float64, shape.Sets)
-		for i := range counts {
-			counts[i] = zipf(rng, shape.Experts, 1.3)
-		}
+		counts := zipfCounts(rng, shape, 1.3)
 		l.Observe(20, counts)
 		maps := inTurn(shape)
 		changes := 0
@@ -114,10 +120,7 @@
 func TestPlanWeighsCopiesAgainstTime(t *testing.T) {
 	shape := Shape{Sets: 4, Experts: 72, Ranks: 12, Slots: 8, Spare: 3}
 	rng := rand.New(rand.NewPCG(3, 1))
-	counts := make([][]float64, shape.Sets)
-	for i := range counts {
-		counts[i] = zipf(rng, shape.Experts, 1.3)
-	}
+	counts := zipfCounts(rng, shape, 1.3)
 	loads := func(each time.Duration) int {
 		l, err := NewLayers(shape, LayersConfig{LoadTime: each})
 		if err != nil {
@@ -160,10 +163,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	counts := make([][]float64, shape.Sets)
-	for i := range counts {
-		counts[i] = zipf(rng, shape.Experts, 1.3)
-	}
+	counts := zipfCounts(rng, shape, 1.3)
 	l.Observe(20, counts)
 	paces := slices.Repeat([]float64{1.02}, shape.Ranks)
 	paces[4] = 12
--- a/decide/balance/popularity.go
+++ b/decide/balance/popularity.go
@@ -22,8 +22,8 @@
 	// mostPasses is the number of passes that are averaged at most: with more, slow drift is
 	// followed late, with fewer the average is noise itself.
 	mostPasses = 32
-	// apart is the distance in parts of all tokens up to which nothing counts as a change.
-	apart = 0.05
+	// leastChange is the distance in parts of all tokens up to which nothing counts as a change.
+	leastChange = 0.05
 	// noiseRatio is how many times farther than usual a change is. The distances of samples
 	// that differ by noise alone spread by a few hundredths of their mean.
 	noiseRatio = 2
@@ -48,7 +48,7 @@
 	}
 	spread := math.Sqrt(1/n + 1/p.passes)
 	d := distance(p.parts, sample)
-	if d > apart && d > noiseRatio*p.usual()*spread {
+	if d > leastChange && d > noiseRatio*p.usual()*spread {
 		p.change(sample)
 		return
 	}
@@ -94,14 +94,20 @@
 	return parts
 }
 
-// distance is how far two popularities are from each other, in parts of all tokens; the mean
-// over all sets.
+// distance is how far the popularities of all sets are from each other; the mean over the sets.
 func distance(a, b [][]float64) float64 {
 	sum := 0.0
 	for i := range a {
-		for expert := range a[i] {
-			sum += math.Abs(a[i][expert] - b[i][expert])
-		}
+		sum += apart(a[i], b[i])
+	}
+	return sum / float64(len(a))
+}
+
+// apart is how far two popularities are from each other, in parts of all tokens.
+func apart(a, b []float64) float64 {
+	sum := 0.0
+	for expert := range a {
+		sum += math.Abs(a[expert] - b[expert])
 	}
-	return sum / 2 / float64(len(a))
+	return sum / 2
 }
--- a/decide/balance/popularity_test.go
+++ b/decide/balance/popularity_test.go
@@ -27,11 +27,7 @@
 }
 
 func zipfSets(rng *rand.Rand, sets, experts int, skew float64) [][]float64 {
-	all := make([][]float64, sets)
-	for i := range all {
-		all[i] = shares(zipf(rng, experts, skew))
-	}
-	return all
+	return sampleOf(zipfCounts(rng, Shape{Sets: sets, Experts: experts}, skew))
 }
 
 // A popularity that stays is seen through the noise of single passes: nothing counts as a
--- a/decide/balance/sequence.go
+++ b/decide/balance/sequence.go
@@ -59,8 +59,8 @@
 func (q *sequence) worst(ended []bool) int {
 	worst, most := -1, q.target
 	for i, s := range q.sets {
-		if !ended[i] && s.stretch() > most {
-			worst, most = i, s.stretch()
+		if stretch := s.stretch(); !ended[i] && stretch > most {
+			worst, most = i, stretch
 		}
 	}
 	return worst
@@ -80,7 +80,8 @@
 	if s.ideal == 0 {
 		return 1
 	}
-	return slices.Max(s.times) / s.ideal
+	_, peak := s.busiest()
+	return peak / s.ideal
 }
 
 // plan is what a sequence comes to with one bound.
--- a/decide/balance/sequence_test.go
+++ b/decide/balance/sequence_test.go
@@ -12,26 +12,17 @@
 // skew of its passes over the span. at chooses how many plans ahead each change goes.
 func relief(t *testing.T, l *Layers, maps []LayerMap, span time.Duration, at func(timing, []plan) int) float64 {
 	t.Helper()
-	tm := timing{copy: l.cfg.LoadTime, change: l.cfg.SwitchTime, horizon: l.cfg.Horizon}
 	sum, left := 0.0, span
 	for left > 0 {
-		from, demands := make([]*Placement, len(maps)), make([]Demand, len(maps))
-		for i := range maps {
-			from[i], _ = l.placement(maps[i])
-			demands[i] = l.demand(i)
-		}
-		plans := newSequence(from, demands, l.shape.Spare, l.cfg.PressedTarget, int32(l.shape.Experts)).plans(l.mostCopies())
-		n := at(tm, plans)
+		plans := l.plans(maps, l.cfg.PressedTarget)
+		n := at(l.timing(), plans)
 		if n == 0 {
 			break
 		}
-		took := min(left, time.Duration(plans[n].copies)*tm.copy+tm.change)
+		took := min(left, time.Duration(plans[n].copies)*l.cfg.LoadTime+l.cfg.SwitchTime)
 		sum += plans[0].stretch * took.Seconds()
 		left -= took
-		next := make([]LayerMap, len(maps))
-		for i, p := range plans[n].placements {
-			next[i] = l.layerMap(p)
-		}
+		next := l.layerMaps(plans[n])
 		checkChange(t, l.shape, maps, next)
 		maps = next
 	}
@@ -58,10 +49,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				counts := make([][]float64, shape.Sets)
-				for i := range counts {
-					counts[i] = zipf(rng, shape.Experts, 1.2)
-				}
+				counts := zipfCounts(rng, shape, 1.2)
 				l.Observe(20, counts)
 				best := l.Skew(inTurn(shape))
 				for _, size := range []int{1, 2, 4, 8, shape.Sets * max(shape.Spare, 1)} {
