Test, red: requests run for callers that left an engine whose VM stands still

What callers see: streams without an event for 2 s, which they leave. The engine had read the requests before its VM stood still, and begins them when it wakes.

The entry knew nothing of the silent VM until the registration lapsed, 3.1 s after it had fallen silent. A reset cannot take back what has been read.

--- a/test/fakeplatform/group.go
+++ b/test/fakeplatform/group.go
@@ -59,6 +59,10 @@
 	used   map[int64]bool
 	orders map[string]int
 	faults []string
+	// asleep are the ranks whose VM stands still; woken is signalled when one is back.
+	asleep []bool
+	woken  *sync.Cond
+	runs   []Run
 	ended  atomic.Bool
 }
 
@@ -67,8 +71,9 @@
 	report.Helper()
 	g := &Group{
 		Shape: shape, rng: rand.New(rand.NewPCG(seed, 1)), epoch: 1,
-		used: make(map[int64]bool), orders: make(map[string]int),
+		used: make(map[int64]bool), orders: make(map[string]int), asleep: make([]bool, shape.Ranks),
 	}
+	g.woken = sync.NewCond(&g.mu)
 	for at := range shape.Ranks {
 		r := &rank{counts: make([]int64, shape.Experts), born: 1}
 		r.reset(g.firstMap())
@@ -114,9 +119,16 @@
 	mux.HandleFunc("GET /apricothub/report", func(w http.ResponseWriter, _ *http.Request) { g.serveReport(w, at) })
 	mux.HandleFunc("GET /apricothub/picked", func(w http.ResponseWriter, r *http.Request) { g.servePicked(w, r, at) })
 	mux.HandleFunc("POST /apricothub/order", func(w http.ResponseWriter, r *http.Request) { g.serveOrder(w, r, at) })
-	server := &http.Server{Handler: mux}
+	mux.HandleFunc("POST /", func(w http.ResponseWriter, r *http.Request) { g.serveStream(w, r, at) })
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.awake(at)
+		mux.ServeHTTP(w, r)
+	})}
 	go func() { _ = server.Serve(l) }()
-	report.Cleanup(func() { _ = server.Close() })
+	report.Cleanup(func() {
+		g.Wake(at)
+		_ = server.Close()
+	})
 	return address
 }
 
--- /dev/null
+++ b/test/fakeplatform/stream.go
@@ -0,0 +1,87 @@
+package fakeplatform
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	// engineEvents is the number of events of a whole stream of an engine, eventEach the time
+	// between two.
+	engineEvents = 20
+	eventEach    = 20 * time.Millisecond
+)
+
+// Run is one request that an engine began to work on.
+type Run struct {
+	Request string
+	Rank    int
+	At      time.Time
+}
+
+// EngineStream is a whole stream of an engine.
+func EngineStream() string {
+	text := ""
+	for n := range engineEvents {
+		text += Event(n + 1)
+	}
+	return text
+}
+
+// Sleep has the VM of a rank stand still until Wake: its engine takes connections and requests
+// in, as its kernel does, and neither works nor answers.
+func (g *Group) Sleep(at int) { g.setAsleep(at, true) }
+
+// Wake ends Sleep. The engine begins the requests that it had taken in, also those whose
+// connections have ended meanwhile.
+func (g *Group) Wake(at int) { g.setAsleep(at, false) }
+
+func (g *Group) setAsleep(at int, asleep bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.asleep[at] = asleep
+	g.woken.Broadcast()
+}
+
+// awake waits until the VM of a rank does not stand still.
+func (g *Group) awake(at int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for g.asleep[at] {
+		g.woken.Wait()
+	}
+}
+
+// Runs are the requests that engines began to work on.
+func (g *Group) Runs() []Run {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.runs)
+}
+
+func (g *Group) serveStream(w http.ResponseWriter, r *http.Request, at int) {
+	id := r.Header.Get("Attempt-Id")
+	g.mu.Lock()
+	g.runs = append(g.runs, Run{Request: id, Rank: at, At: time.Now()})
+	g.mu.Unlock()
+	w.Header().Set("Attempt-Id", id)
+	w.Header().Set("Upstream-Signature", "sig")
+	w.Header().Set("Content-Type", "text/event-stream")
+	after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		after = 0
+	}
+	for n := after + 1; n <= engineEvents; n++ {
+		time.Sleep(eventEach)
+		g.awake(at)
+		if _, err := io.WriteString(w, Event(n)); err != nil {
+			return
+		}
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+	}
+}
