Move requests from engines whose VM is silent

What callers saw: 2 s without an event, after which they left, when the VM of an engine stood still; the engine ran their requests for nobody when it was back.

Cause: what an engine has read cannot be taken back from outside, and an entry learned of a silent VM only from its registration, which lapses after 3 s, or from callers that left. The class of fault: work that is given up still lies where it can be begun.

Change: decide/silence. A request that waits past its route's pause, or 0.6 of its aim, has the process beside the engine asked whether the VM lives (200 ms). If it does not answer, the engine gets nothing more, and requests there that may be repeated go to another engine, behind their last event, while others of the service are heard and have room. One that is only slow keeps its requests.

--- a/decide/place/retry.go
+++ b/decide/place/retry.go
@@ -23,10 +23,15 @@
 	b.tokens = min(b.tokens+b.ratio(), b.reserve())
 }
 
+// Left says whether one more attempt may be made, and leaves the budget as it is.
+func (b *RetryBudget) Left() bool {
+	b.begin()
+	return b.tokens >= 1
+}
+
 // Retry says whether one more attempt may be made, and takes it off the budget.
 func (b *RetryBudget) Retry() bool {
-	b.begin()
-	if b.tokens < 1 {
+	if !b.Left() {
 		return false
 	}
 	b.tokens--
--- a/internal/gateway/again.go
+++ b/internal/gateway/again.go
@@ -19,13 +19,16 @@
 	ranBadly
 	// broken says that the request may have run, and there is no whole answer.
 	broken
+	// moved says that the backend server's VM is silent, and that the request goes to another
+	// one. It may have run, and may still.
+	moved
 	// over says that the caller has gone or the time is up.
 	over
 )
 
 // String names the verdict, as logs show it.
 func (v verdict) String() string {
-	return [...]string{"delivered", "unsent", "not run", "failed", "broken", "over"}[v]
+	return [...]string{"delivered", "unsent", "not run", "failed", "broken", "moved", "over"}[v]
 }
 
 // code is the result that an attempt which ended so is logged with.
@@ -39,6 +42,8 @@
 		return api.ResultCode_SATURATED
 	case ranBadly:
 		return api.ResultCode_BACKEND_FAILED
+	case moved:
+		return api.ResultCode_UNREACHABLE
 	default:
 		return api.ResultCode_ANSWER_BROKEN
 	}
--- a/internal/gateway/again_test.go
+++ b/internal/gateway/again_test.go
@@ -39,3 +39,24 @@
 		}
 	}
 }
+
+// The VM of a backend server goes silent with requests in it. A push may run there when it is
+// back, and must not be given to another server meanwhile.
+func TestMayMove(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		route routing.Route
+		h     history
+		want  bool
+	}{
+		{"a push", routing.Route{Kind: routing.Once, Attempts: 3}, history{}, false},
+		{"a stream that cannot be resumed", routing.Route{Kind: routing.Stream, Attempts: 3}, history{}, false},
+		{"a draft", routing.Route{Kind: routing.Stream, Resumable: true, Attempts: 2}, history{}, true},
+		{"a draft at its last server", routing.Route{Kind: routing.Stream, Resumable: true, Attempts: 2}, history{sent: 1}, false},
+		{"a look-up", routing.Route{Kind: routing.Idempotent, Attempts: 2}, history{}, true},
+	} {
+		if got := mayMove(&c.route, c.h); got != c.want {
+			t.Errorf("%s: may be moved %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -37,6 +37,8 @@
 	conn   *upstream.Conn
 	resp   *http.Response
 	answer platform.Answer
+	// guard watches over the attempt; nil for none.
+	guard *guard
 	// whole says that the answer was read to its end.
 	whole bool
 	fate  fate
@@ -44,25 +46,49 @@
 	err error
 }
 
+// ending is how an attempt ended.
+type ending struct {
+	verdict verdict
+	// next is where the request goes that was moved.
+	next placement
+	// err is why the attempt came to nothing, for the log.
+	err error
+}
+
 // attempt takes a request to one backend server, and delivers the answer when it is one
 // that the caller should get.
-func (g *Gateway) attempt(ctx context.Context, t *task, s placement) (verdict, error) {
+func (g *Gateway) attempt(ctx context.Context, t *task, s placement) ending {
 	began := clock.Now()
 	a := &try{g: g, t: t, server: s, fate: fateUnknown}
-	v := a.run(ctx)
+	var guarded context.Context
+	guarded, a.guard = g.guardAttempt(ctx, t, s)
+	v := a.run(guarded)
+	next := a.guard.end()
 	if a.conn != nil {
 		t.history.sent++
 		a.conn.Release(a.resp, a.whole, a.answer.KeepAlive, clock.Now())
 	} else {
 		t.history.unsent++
 	}
-	if v != delivered && ctx.Err() != nil {
+	switch {
+	case v == delivered:
+	case ctx.Err() != nil:
 		v = over
 		// What ended with the caller says nothing about the server.
 		a.fate = fateUnknown
+	case next != nil:
+		v = moved
+		// Its VM is watched, and says more.
+		a.fate = fateUnknown
 	}
 	g.fleet.done(s.ID, a.fate, clock.Now()-began, clock.Now())
-	return v, a.err
+	if next == nil {
+		return ending{verdict: v, err: a.err}
+	}
+	if v != moved {
+		g.fleet.done(next.ID, fateUnknown, 0, clock.Now())
+	}
+	return ending{verdict: v, next: *next, err: a.err}
 }
 
 func (a *try) run(ctx context.Context) verdict {
@@ -87,6 +113,7 @@
 		return a.broke(err)
 	}
 	defer func() { _ = a.resp.Body.Close() }()
+	a.guard.heard()
 	a.answer = platform.ReadAnswer(a.resp.StatusCode, a.resp.Header)
 	if a.answer.NotRun {
 		return a.refused()
@@ -228,6 +255,7 @@
 		if err != nil {
 			return a.broke(err)
 		}
+		a.guard.heard()
 		if !follows(event.ID, out.lastID) {
 			return a.broke(errors.Errorf("event %q does not follow event %q", event.ID, out.lastID))
 		}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/apricothub/apricothub/decide/arrivals"
 	"github.com/apricothub/apricothub/decide/eject"
 	"github.com/apricothub/apricothub/decide/place"
+	"github.com/apricothub/apricothub/decide/silence"
 	"github.com/apricothub/apricothub/internal/experts"
 	"github.com/apricothub/apricothub/internal/routing"
 )
@@ -47,6 +48,7 @@
 	rng     *rand.Rand
 	table   *place.Table
 	judge   *eject.Judge
+	watch   *silence.Watch
 	servers map[string]*server
 	budgets map[string]*place.RetryBudget
 	// entries is the number of live entries, mayLive that of those that may be at work, this
@@ -58,6 +60,8 @@
 	lastID   uint64
 	// teamsOf is the version of the configuration that the admitter's teams are of.
 	teamsOf int64
+	// engines are the services whose servers are engines.
+	engines map[string]bool
 	// shut are the services of which this entry has seen itself that no server takes work.
 	shut map[string]bool
 	// registered is what all servers of a service can hold, whether they may get work now or
@@ -96,6 +100,8 @@
 		// Reports here are the other entries' own counts, a fraction of a second old.
 		table:    place.NewTable(rng, place.Config{QueueRoom: queueRoom, FullTrust: true}),
 		judge:    eject.New(eject.Config{}),
+		watch:    silence.New(silence.Config{}),
+		engines:  make(map[string]bool),
 		servers:  make(map[string]*server),
 		budgets:  make(map[string]*place.RetryBudget),
 		entries:  1,
@@ -128,6 +134,7 @@
 	f.mayLive = max(n.mayLive, f.entries)
 	f.setTeams(cfg)
 	f.registered = make(map[string]int)
+	f.engines = make(map[string]bool)
 	for service := range f.rooms {
 		if cfg.Service(service) == nil {
 			delete(f.rooms, service)
@@ -150,6 +157,7 @@
 		}
 		s.Server = e.Server
 		s.service = service
+		f.engines[e.Service] = service.Engine != nil
 		f.boundArrivals(s, now)
 		f.servers[e.ID] = s
 		weight := 1.0
@@ -162,7 +170,9 @@
 		placed = append(placed, place.Server{VM: e.ID, Domain: e.FailureDomain, Offers: []string{offer(e.Service)}, Weight: weight})
 	}
 	f.table.Set(placed)
-	f.judge.Keep(func(id string) bool { return f.servers[id] != nil })
+	known := func(id string) bool { return f.servers[id] != nil }
+	f.judge.Keep(known)
+	f.watch.Keep(known)
 	f.refresh(now)
 }
 
@@ -231,7 +241,7 @@
 	paced := make(map[string]bool)
 	for id, s := range f.servers {
 		all[s.Service]++
-		if f.judge.Out(id, now) {
+		if f.out(id, now) {
 			out[s.Service]++
 		} else if s.limit() > 0 && !s.closed && !s.leaves {
 			paced[s.Service] = true
@@ -246,11 +256,17 @@
 		})
 		// When all of a service fail, something else is at fault, and none is worse than
 		// the others.
-		f.table.Suspect(id, s.closed || s.spared(paced) || f.shut[s.Service] || f.judge.Out(id, now) && out[s.Service] < all[s.Service])
+		f.table.Suspect(id, s.closed || s.spared(paced) || f.shut[s.Service] || f.out(id, now) && out[s.Service] < all[s.Service])
 	}
 	f.admit(now)
 }
 
+// out says whether a server is left out for what it does: it fails, or its VM is silent. The
+// caller holds the lock.
+func (f *fleet) out(id string, now time.Duration) bool {
+	return f.judge.Out(id, now) || f.watch.Silent(id)
+}
+
 // need is what placing a request takes.
 type need struct {
 	service string
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -162,7 +162,8 @@
 	defer func() { g.fleet.finish(id, t.service, took, clock.Now()) }()
 	for {
 		t.tried = append(t.tried, s.ID)
-		v, failure := g.attempt(ctx, t, s)
+		end := g.attempt(ctx, t, s)
+		v := end.verdict
 		switch v {
 		case delivered:
 			took = clock.Now() - began
@@ -176,6 +177,13 @@
 			if g.fleet.shed(s.ID) {
 				go g.watch(s.Server)
 			}
+		case moved:
+			t.history.mayHaveRun = true
+			g.logAttempt(t, s, v, true, "", end.err)
+			g.metrics.moved.Inc(1)
+			g.goesOn(t)
+			s = end.next
+			continue
 		case ranBadly, broken:
 			t.history.mayHaveRun = true
 		}
@@ -183,7 +191,7 @@
 		if goOn && v != unsent && !g.fleet.again(t.service) {
 			goOn, why = false, "the retry budget is spent"
 		}
-		g.logAttempt(t, s, v, goOn, why, failure)
+		g.logAttempt(t, s, v, goOn, why, end.err)
 		if !goOn {
 			g.giveUp(ctx, t, result.New(api.ResultCode_SATURATED))
 			return
@@ -192,10 +200,15 @@
 			g.giveUp(ctx, t, err)
 			return
 		}
-		g.metrics.again.Inc(1)
-		if t.out.begun {
-			g.metrics.resumed.Inc(1)
-		}
+		g.goesOn(t)
+	}
+}
+
+// goesOn counts a request that goes to one more backend server.
+func (g *Gateway) goesOn(t *task) {
+	g.metrics.again.Inc(1)
+	if t.out.begun {
+		g.metrics.resumed.Inc(1)
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,7 +20,9 @@
 	registry                      metrics.Registry
 	requests, served, gone, again metrics.Counter
 	late, resumed, ejected        metrics.Counter
-	took, waited, first, between  metrics.Histogram
+	// silent counts VMs of backend servers that went silent, moved the requests taken from them.
+	silent, moved                metrics.Counter
+	took, waited, first, between metrics.Histogram
 	// reads, writes and failed count calls of the platform's store.
 	reads, writes, failed metrics.Counter
 
@@ -41,6 +43,8 @@
 		late:     metrics.NewRegisteredCounter("gateway.answers.late", r),
 		resumed:  metrics.NewRegisteredCounter("gateway.streams.resumed", r),
 		ejected:  metrics.NewRegisteredCounter("gateway.servers.left.out", r),
+		silent:   metrics.NewRegisteredCounter("gateway.servers.silent", r),
+		moved:    metrics.NewRegisteredCounter("gateway.attempts.moved", r),
 		reads:    metrics.NewRegisteredCounter("gateway.store.reads", r),
 		writes:   metrics.NewRegisteredCounter("gateway.store.writes", r),
 		failed:   metrics.NewRegisteredCounter("gateway.store.failed", r),
--- a/internal/logging/sentences_test.go
+++ b/internal/logging/sentences_test.go
@@ -24,6 +24,7 @@
 	"A newer link takes the place of an older one.":                       true,
 	"A registration is new or has changed.":                               true,
 	"A backend server gets work by its pace.":                             true,
+	"The VM of a backend server answers again.":                           true,
 	"Another entry is heard.":                                             true,
 	"A request was served late.":                                          true,
 	"A request was served after another attempt.":                         true,
--- a/internal/rankagent/rankagent.go
+++ b/internal/rankagent/rankagent.go
@@ -108,6 +108,7 @@
 func (a *agent) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+ranks.Path, a.serve)
+	mux.HandleFunc("GET "+ranks.AlivePath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		textmetrics.Write(w, a.metrics.registry, metrics.DefaultRegistry)
 	})
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -21,6 +21,9 @@
 // Path is where the process beside an engine takes requests.
 const Path = "/rank"
 
+// AlivePath is where it says that its VM lives, and no more.
+const AlivePath = "/alive"
+
 // maxReply bounds a reply, bytes.
 const maxReply = 4 << 20
 
