--- a/test/fakeplatform/group.go
+++ b/test/fakeplatform/group.go
@@ -277,7 +277,12 @@
 
 // RegisterGroup registers the engines of a group under a service.
 func (s *Store) RegisterGroup(g *Group, service string, domains []string) {
-	for at, address := range g.Engines {
+	s.RegisterEngines(g.Engines, service, domains)
+}
+
+// RegisterEngines registers engines, by rank, at addresses under a service.
+func (s *Store) RegisterEngines(addresses []string, service string, domains []string) {
+	for at, address := range addresses {
 		s.registerAs(service, fmt.Sprintf("e-%d", at), address, Place{FailureDomain: domains[at%len(domains)], Concurrency: 12}, "ready")
 	}
 }
--- a/test/fakeplatform/server.go
+++ b/test/fakeplatform/server.go
@@ -25,6 +25,8 @@
 type Server struct {
 	place    Place
 	listener net.Listener
+	// address is the registered one.
+	address  string
 	answer   Answer
 	mu       sync.Mutex
 	requests []Seen
@@ -39,6 +41,8 @@
 	ID, FailureDomain string
 	// Concurrency is the number of requests that it works on at once.
 	Concurrency int
+	// Link makes the address that it registers in place of its own; nil for none.
+	Link func(address string) string
 	// Forgets says that it keeps no record of its requests, for long runs.
 	Forgets bool
 }
@@ -55,7 +59,10 @@
 	if err != nil {
 		report.Fatalf("listen: %v", err)
 	}
-	f := &Server{place: place, listener: listener, answer: answer}
+	f := &Server{place: place, listener: listener, address: listener.Addr().String(), answer: answer}
+	if place.Link != nil {
+		f.address = place.Link(f.address)
+	}
 	report.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -72,7 +79,7 @@
 
 // Register registers a backend server anew, in a state such as ready or draining.
 func (s *Store) Register(f *Server, state string) {
-	s.registerAs("app", f.place.ID, f.listener.Addr().String(), f.place, state)
+	s.registerAs("app", f.place.ID, f.address, f.place, state)
 }
 
 func (s *Store) registerAs(service, id, address string, place Place, state string) {
--- a/test/fakeplatform/store.go
+++ b/test/fakeplatform/store.go
@@ -25,11 +25,13 @@
 	*httptest.Server
 	mu     sync.Mutex
 	topics map[string][][2]string
+	// first are the offsets from which on topics keep their records for readers.
+	first map[string]int
 }
 
 // NewStore starts a store that stops with the test.
 func NewStore(report harness.Reporter) *Store {
-	s := &Store{topics: make(map[string][][2]string)}
+	s := &Store{topics: make(map[string][][2]string), first: make(map[string]int)}
 	s.Server = httptest.NewServer(s.handler(func() bool { return false }))
 	report.Cleanup(s.Close)
 	return s
@@ -80,6 +82,16 @@
 	s.topics[topic] = append(s.topics[topic], [2]string{key, value})
 }
 
+// Forget drops the history of all topics: a reader that is behind must read the newest record of
+// each key anew.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for topic, records := range s.topics {
+		s.first[topic] = len(records)
+	}
+}
+
 func (s *Store) read(w http.ResponseWriter, r *http.Request, shut func() bool) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
@@ -91,13 +103,19 @@
 		}
 		s.mu.Lock()
 		records := s.topics[r.URL.Query().Get("topic")]
+		first := s.first[r.URL.Query().Get("topic")]
 		s.mu.Unlock()
+		if from < first {
+			w.WriteHeader(http.StatusGone)
+			_, _ = fmt.Fprintf(w, `{"first":%d}`, first)
+			return
+		}
 		if len(records) <= from && time.Now().Before(until) {
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
 		answer := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
-		answer = binary.BigEndian.AppendUint64(answer, 0)
+		answer = binary.BigEndian.AppendUint64(answer, uint64(first))
 		for _, rec := range records[min(from, len(records)):] {
 			answer = binary.BigEndian.AppendUint32(answer, uint32(1+len(rec[0])+len(rec[1])))
 			answer = append(answer, byte(len(rec[0])))
--- a/test/fakeplatform/stream.go
+++ b/test/fakeplatform/stream.go
@@ -1,6 +1,7 @@
 package fakeplatform
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -22,11 +23,16 @@
 	At      time.Time
 }
 
-// EngineStream is a whole stream of an engine.
-func EngineStream() string {
+// EngineEvent is one event of an engine's stream for a path.
+func EngineEvent(path string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: part %d for %s\n\n", n, n, path)
+}
+
+// EngineStream is the whole stream of an engine for a path.
+func EngineStream(path string) string {
 	text := ""
 	for n := range engineEvents {
-		text += Event(n + 1)
+		text += EngineEvent(path, n+1)
 	}
 	return text
 }
@@ -77,7 +83,7 @@
 	for n := after + 1; n <= engineEvents; n++ {
 		time.Sleep(eventEach)
 		g.awake(at)
-		if _, err := io.WriteString(w, Event(n)); err != nil {
+		if _, err := io.WriteString(w, EngineEvent(r.URL.Path, n)); err != nil {
 			return
 		}
 		if http.NewResponseController(w).Flush() != nil {
--- a/test/gateway_cold_test.go
+++ b/test/gateway_cold_test.go
@@ -33,6 +33,19 @@
 	a.all = append(a.all, at)
 }
 
+func (a *arrivalTimes) clear() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.all = nil
+}
+
+// last is when the last one came.
+func (a *arrivalTimes) last() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Max(append(a.all, 0))
+}
+
 // busiest returns the most arrivals in any window, and when the first of them came.
 func (a *arrivalTimes) busiest(window time.Duration) (most int, at time.Duration) {
 	a.mu.Lock()
@@ -127,9 +140,7 @@
 			})
 			s.coldServer("i-a")
 			stalls := watchStalls()
-			got.mu.Lock()
-			got.all = nil
-			got.mu.Unlock()
+			got.clear()
 			stop := s.callGateways(t, 16)
 			c.disturb(s)
 			time.Sleep(calmAfter)
--- a/test/gateway_maps_test.go
+++ b/test/gateway_maps_test.go
@@ -22,19 +22,24 @@
 
 func startMapSite(t *testing.T, gateways int, seed uint64) *mapSite {
 	t.Helper()
-	s := startSite(t, gateways, fakeplatform.Echo)
-	group := fakeplatform.NewGroup(t, fakeplatform.GroupShape{Ranks: 4, Experts: 16, Places: 6, Spare: 2, Drift: 120}, seed)
-	m := &mapSite{site: s, group: group}
-	for at, engine := range group.Engines {
+	m := &mapSite{site: startSite(t, gateways, fakeplatform.Echo)}
+	m.startGroup(fakeplatform.GroupShape{Ranks: 4, Experts: 16, Places: 6, Spare: 2, Drift: 120}, seed)
+	services := []fakeplatform.Service{{Name: "app", HealthPath: "/healthz"}, m.group.EngineService("drafts")}
+	m.store.ConfigureServices(2, services, fakeplatform.Routes(), fakeplatform.CallerKey)
+	m.store.RegisterGroup(m.group, "drafts", domains)
+	waitFor(t, "a first map is coordinated", func() bool { return m.group.State().Version != 0 })
+	return m
+}
+
+// startGroup starts a group of engines with a rank agent beside each.
+func (m *mapSite) startGroup(shape fakeplatform.GroupShape, seed uint64) {
+	m.t.Helper()
+	m.group = fakeplatform.NewGroup(m.t, shape, seed)
+	for at, engine := range m.group.Engines {
 		vm := fmt.Sprintf("side-%d", at+1)
-		settings := fakeplatform.RankAgent{VM: vm, FailureDomain: domains[at%len(domains)], Engine: engine, Store: s.store.Address()}
-		m.agents = append(m.agents, harness.StartWith(t, []string{settings.WriteSettings(t, s.dir)}, s.dir, vm, bin+"/apricothub", "rank-agent"))
+		settings := fakeplatform.RankAgent{VM: vm, FailureDomain: domains[at%len(domains)], Engine: engine, Store: m.store.Address()}
+		m.agents = append(m.agents, harness.StartWith(m.t, []string{settings.WriteSettings(m.t, m.dir)}, m.dir, vm, bin+"/apricothub", "rank-agent"))
 	}
-	services := []fakeplatform.Service{{Name: "app", HealthPath: "/healthz"}, group.EngineService("drafts")}
-	s.store.ConfigureServices(2, services, fakeplatform.Routes(), fakeplatform.CallerKey)
-	s.store.RegisterGroup(group, "drafts", domains)
-	waitFor(t, "a first map is coordinated", func() bool { return group.State().Version != 0 })
-	return m
 }
 
 // breakOnce disturbs one process, or the group, for a moment.
--- a/test/gateway_silent_test.go
+++ b/test/gateway_silent_test.go
@@ -113,7 +113,7 @@
 			book := m.newBook()
 			for n := 0; !isClosed(stop); n++ {
 				id := fmt.Sprintf("s%d-%d", i, n)
-				if got := l.read(book.pick(), id); got != fakeplatform.EngineStream() {
+				if got := l.read(book.pick(), id); got != fakeplatform.EngineStream("/draft/"+id) {
 					t.Errorf("the caller of %s got %q", id, got)
 				}
 			}
--- a/test/harness/forwarder.go
+++ b/test/harness/forwarder.go
@@ -10,6 +10,9 @@
 	"github.com/go-faster/errors"
 )
 
+// anyPort is a free port of loopback.
+const anyPort = "127.0.0.1:0"
+
 // Forwarder stands between two processes and passes their TCP connections on. Its
 // methods break them in the ways networks do.
 type Forwarder struct {
@@ -21,6 +24,7 @@
 	mu       sync.Mutex
 	refuse   bool
 	swallow  bool
+	mute     bool
 	closed   bool
 	conns    map[*forwarded]bool
 }
@@ -28,13 +32,20 @@
 // forwarded is one connection with its two sides.
 type forwarded struct {
 	near, far net.Conn
-	silent    atomic.Bool
+	// silent swallows what is sent in both directions, mute what the target sends.
+	silent, mute atomic.Bool
 }
 
 // NewForwarder listens on a free address and passes connections on to target.
 func NewForwarder(report Reporter, target string) *Forwarder {
 	report.Helper()
-	f, err := newForwarder(target)
+	return NewForwarderAt(report, anyPort, target)
+}
+
+// NewForwarderAt listens at an address and passes connections on to target.
+func NewForwarderAt(report Reporter, address, target string) *Forwarder {
+	report.Helper()
+	f, err := newForwarder(address, target)
 	if err != nil {
 		report.Fatalf("forwarder: %v", err)
 	}
@@ -42,8 +53,8 @@
 	return f
 }
 
-func newForwarder(target string) (*Forwarder, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func newForwarder(address, target string) (*Forwarder, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
@@ -87,11 +98,22 @@
 	f.Silence()
 }
 
+// Mute swallows what the target sends over present and new connections, until Unblock: what is
+// sent to it arrives, and no answer comes back.
+func (f *Forwarder) Mute() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mute = true
+	for c := range f.conns {
+		c.mute.Store(true)
+	}
+}
+
 // Unblock lets new connections work again.
 func (f *Forwarder) Unblock() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.refuse, f.swallow = false, false
+	f.refuse, f.swallow, f.mute = false, false, false
 }
 
 // Delay holds back each piece of data in either direction.
@@ -142,6 +164,7 @@
 		return false
 	}
 	c.silent.Store(f.swallow)
+	c.mute.Store(f.mute)
 	f.conns[c] = true
 	return true
 }
@@ -161,7 +184,7 @@
 		if d := f.delay.Load(); d > 0 {
 			time.Sleep(time.Duration(d))
 		}
-		if c.silent.Load() {
+		if c.silent.Load() || from == c.far && c.mute.Load() {
 			if err != nil {
 				return
 			}
--- a/test/harness/view.go
+++ b/test/harness/view.go
@@ -122,7 +122,7 @@
 	}
 	for i, vm := range list {
 		if v.links[vm.ID] == nil {
-			link, err := newForwarder(vm.Link)
+			link, err := newForwarder(anyPort, vm.Link)
 			if err != nil {
 				continue // The process sees the plain address: no fault can be put there.
 			}
--- a/test/site_test.go
+++ b/test/site_test.go
@@ -36,20 +36,40 @@
 	door *fakeplatform.Door
 }
 
+// siteSpec says what a site is like.
+type siteSpec struct {
+	gateways int
+	// answer is that of the backend servers.
+	answer fakeplatform.Answer
+	// links are put before each backend server and each gateway's door, and return the address
+	// to use in place of theirs; nil for none.
+	serverLink, doorLink func(address string) string
+}
+
 // startSite starts a site with so many gateways, and a backend server in each of three
 // failure domains that answers as given. It waits until all gateways know all servers.
 func startSite(t *testing.T, gateways int, answer fakeplatform.Answer) *site {
+	t.Helper()
+	return startSiteAs(t, siteSpec{gateways: gateways, answer: answer})
+}
+
+// startSiteAs is startSite for a site with links that can be broken.
+func startSiteAs(t *testing.T, spec siteSpec) *site {
 	t.Helper()
 	s := &site{t: t, dir: harness.Dir(t, strings.ReplaceAll(t.Name(), "/", "-")), store: fakeplatform.NewStore(t)}
 	s.store.Configure(1, fakeplatform.Routes(), fakeplatform.CallerKey)
 	for _, domain := range domains {
-		place := fakeplatform.Place{ID: "i-" + domain, FailureDomain: domain, Concurrency: 16}
-		s.servers = append(s.servers, s.store.ServeAt(t, place, answer))
+		place := fakeplatform.Place{ID: "i-" + domain, FailureDomain: domain, Concurrency: 16, Link: spec.serverLink}
+		s.servers = append(s.servers, s.store.ServeAt(t, place, spec.answer))
 	}
 	var seeds []string
-	for i := range gateways {
+	for i := range spec.gateways {
 		g := &gatewayProcess{vm: fmt.Sprintf("front-%d", i+1), ip: fakeplatform.OwnIP(), door: s.store.Door(t)}
-		entry := fakeplatform.Entry{VM: g.vm, IP: g.ip, FailureDomain: domains[i%len(domains)], Store: g.door.Address, Seeds: seeds}
+		store := g.door.Address
+		if spec.doorLink != nil {
+			store = spec.doorLink(store)
+		}
+		entry := fakeplatform.Entry{VM: g.vm, IP: g.ip, FailureDomain: domains[i%len(domains)], Store: store, Seeds: seeds}
 		g.Process = harness.StartWith(t, []string{entry.WriteSettings(t, s.dir)}, s.dir, g.vm, bin+"/apricothub", "gateway")
 		s.gateways = append(s.gateways, g)
 		seeds = append(seeds, g.ip)
