Move requests that hang at a server whose VM answers

What callers saw: nothing, until their time was up, from a server that hangs or a connection that is silent for good while new ones work.

Cause: an entry waited for as long as the caller did, whatever others served.

Change: a request that may be repeated is moved, as from a silent VM, when nothing has come of it for twice its aim or five pauses. It counts as a failure of the server, and against the retry budget.

Tests, red before: TestAStreamThatStandsStillGoesOnAtAnotherServer (cut after 6 s), TestALookUpThatHangsIsAnsweredByAnotherServer (504 after 5 s). TestAPushThatHangsStaysWhereItIs passed before and after.

--- a/decide/silence/silence.go
+++ b/decide/silence/silence.go
@@ -1,10 +1,11 @@
 // Package silence decides when the VM of a backend server counts as silent, and which requests
-// there are given to another server.
+// are given to another server.
 //
-// It is made for VMs that stand still for seconds, or are cut off without a word: connections to
-// them stand, and requests wait there. The harm prevented: callers wait until they leave, and the
-// server runs their requests for nobody when it is back. A server that is only slow, or has much
-// to do, keeps its requests: its VM answers when it is asked.
+// It is made for VMs that stand still for seconds, or are cut off without a word, and for servers
+// and connections that hang: connections stand, and requests wait there. The harm prevented:
+// callers wait until they leave, and the server runs their requests for nobody when it is back. A
+// server that is only slow, or has much to do, keeps its requests: its VM answers when it is
+// asked, and some of the answer comes sooner or later.
 //
 // Time is an argument. Nothing here is safe for use by several goroutines at once.
 package silence
@@ -21,12 +22,20 @@
 	FirstPart float64
 	// Gap is the same for the next event of an answer that has begun. Default 150 ms.
 	Gap time.Duration
+	// StuckPart and StuckFirst are FirstPart and First for a request that is moved though its
+	// server's VM answers, or cannot be asked. Defaults 2 and 1 s.
+	StuckPart  float64
+	StuckFirst time.Duration
+	// StuckPauses is the same for the next event, as a multiple of the pause that the route
+	// accepts, StuckGap where it has none. Defaults 5 and 750 ms.
+	StuckPauses float64
+	StuckGap    time.Duration
 	// Again is the time between two questions to a VM that answers, so that a service which is
 	// slow as a whole costs few of them. Default 250 ms.
 	Again time.Duration
-	// Alive is how long ago another server of the service must have been heard at most for a
-	// request to be moved there. Default 250 ms: a service that is silent as a whole, as while
-	// a group of engines forms, serves it nowhere.
+	// Alive is how long ago another server of a group in lock-step must have been heard at most
+	// for a request to be moved there. Default 250 ms: a group that is silent as a whole, as
+	// while it forms, serves it nowhere.
 	Alive time.Duration
 	// Each is the least time between two requests that one entry moves. Default 50 ms, a third
 	// of the time in which entries hear of each other's requests.
@@ -44,12 +53,20 @@
 	}
 	set(&c.First, 300*time.Millisecond)
 	set(&c.Gap, 150*time.Millisecond)
+	set(&c.StuckFirst, time.Second)
+	set(&c.StuckGap, 750*time.Millisecond)
 	set(&c.Again, 250*time.Millisecond)
 	set(&c.Alive, 250*time.Millisecond)
 	set(&c.Each, 50*time.Millisecond)
 	if c.FirstPart == 0 {
 		c.FirstPart = 0.6
 	}
+	if c.StuckPart == 0 {
+		c.StuckPart = 2
+	}
+	if c.StuckPauses == 0 {
+		c.StuckPauses = 5
+	}
 	if c.Reserve == 0 {
 		c.Reserve = 0.1
 	}
@@ -113,6 +130,20 @@
 	}
 }
 
+// stuck is how long a request waits before it is moved though its server's VM answers.
+func (w *Watch) stuck(a Wait) time.Duration {
+	switch {
+	case a.Begun && a.Pause > 0:
+		return time.Duration(w.cfg.StuckPauses * float64(a.Pause))
+	case a.Begun:
+		return w.cfg.StuckGap
+	case a.Aim > 0:
+		return time.Duration(w.cfg.StuckPart * float64(a.Aim))
+	default:
+		return w.cfg.StuckFirst
+	}
+}
+
 // Heard says that something came from a server itself.
 func (w *Watch) Heard(id, service string, now time.Duration) {
 	s := w.server(id)
@@ -162,30 +193,56 @@
 	return ok && s.silent
 }
 
-// Room is what an entry knows of the places at the servers of a service that get work.
-type Room struct {
-	Free, Capacity int
-	// Entries is the number of entries that send there.
-	Entries int
+// Service is what an entry knows of the servers of a service that get work.
+type Service struct {
+	Name string
+	// LockStep says that no server works while one of them does not.
+	LockStep bool
+	// Free and Capacity are their places, Entries is the number of entries that send there.
+	Free, Capacity, Entries int
 }
 
-// Moves says whether a request that waits at a server is to be given to another one of the
-// service now: its server's VM is silent, others serve, and they have room. Call Moved when it
-// is.
+// Reason is why a request is moved.
+type Reason uint8
+
+const (
+	// Stays is that of a request that is not.
+	Stays Reason = iota
+	// SilentVM says that the VM of its server does not answer.
+	SilentVM
+	// Stuck says that nothing comes of it, though the VM answers or cannot be asked.
+	Stuck
+)
+
+// Moves says whether, and why, a request that waits at a server is to be given to another one of
+// the service now: its server's VM is silent, or nothing has come for very long, others serve, and
+// they have room. Call Moved when it is.
 //
 // Load: a third of busy servers go silent with all that they hold. Harm prevented: it all comes to
 // the others at once, fills their queues for seconds, and makes every other caller late. All
 // entries move at the same moment, and hear of each other's requests only later.
-func (w *Watch) Moves(id, service string, a Wait, room Room, now time.Duration) bool {
+func (w *Watch) Moves(id string, service Service, a Wait, now time.Duration) Reason {
+	reason := w.reason(id, a, now)
 	switch {
-	case !w.Silent(id) || now-a.Since < w.Patience(a):
-		return false
 	case w.movedAt > 0 && now-w.movedAt < w.cfg.Each:
-		return false
-	case room.Free < room.Entries+int(w.cfg.Reserve*float64(room.Capacity)):
-		return false
+		return Stays
+	case service.Free < service.Entries+int(w.cfg.Reserve*float64(service.Capacity)):
+		return Stays
+	case service.LockStep && !w.othersServe(id, service.Name, now):
+		return Stays
+	}
+	return reason
+}
+
+func (w *Watch) reason(id string, a Wait, now time.Duration) Reason {
+	waited := now - a.Since
+	switch {
+	case w.Silent(id) && waited >= w.Patience(a):
+		return SilentVM
+	case waited >= w.stuck(a):
+		return Stuck
 	}
-	return w.othersServe(id, service, now)
+	return Stays
 }
 
 // Moved says that a request was moved.
--- a/decide/silence/silence_test.go
+++ b/decide/silence/silence_test.go
@@ -12,8 +12,8 @@
 	service = "drafts"
 )
 
-// roomy is a service with room for all that is moved.
-var roomy = silence.Room{Free: 60, Capacity: 96, Entries: 6}
+// roomy are engines with room for all that is moved.
+var roomy = silence.Service{Name: service, LockStep: true, Free: 60, Capacity: 96, Entries: 6}
 
 // begun is a stream whose last event came at a moment, and whose caller accepts pauses of 120 ms.
 func begun(at time.Duration) silence.Wait {
@@ -57,10 +57,10 @@
 // A VM stands still with a request in it: its caller waits until it leaves.
 func TestARequestLeavesASilentVM(t *testing.T) {
 	w := silentVM(t, 1000*ms)
-	if !w.Moves("e-0", service, begun(800*ms), roomy, 1000*ms) {
+	if w.Moves("e-0", roomy, begun(800*ms), 1000*ms) != silence.SilentVM {
 		t.Error("it stays")
 	}
-	if w.Moves("e-0", service, begun(950*ms), roomy, 1000*ms) {
+	if w.Moves("e-0", roomy, begun(950*ms), 1000*ms) != silence.Stays {
 		t.Error("one whose last event came just now is moved")
 	}
 }
@@ -72,7 +72,7 @@
 	w.Heard("e-1", service, 1000*ms)
 	w.Ask("e-0", 900*ms)
 	w.Answered("e-0", 910*ms)
-	if w.Moves("e-0", service, begun(100*ms), roomy, 1000*ms) {
+	if w.Moves("e-0", roomy, begun(500*ms), 1000*ms) != silence.Stays {
 		t.Error("it is moved from a VM that answers")
 	}
 	if w.Ask("e-0", 1000*ms) {
@@ -87,11 +87,11 @@
 // their attempts, and are refused when it is back.
 func TestRequestsStayWhileNoServerServes(t *testing.T) {
 	w := silentVM(t, 1000*ms)
-	if w.Moves("e-0", service, begun(800*ms), roomy, 1300*ms) {
+	if w.Moves("e-0", roomy, begun(800*ms), 1300*ms) != silence.Stays {
 		t.Error("it is moved to a service of which nothing is heard")
 	}
 	w.Heard("e-1", "another", 1300*ms)
-	if w.Moves("e-0", service, begun(800*ms), roomy, 1300*ms) {
+	if w.Moves("e-0", roomy, begun(800*ms), 1300*ms) != silence.Stays {
 		t.Error("it is moved since another service serves")
 	}
 }
@@ -100,21 +100,50 @@
 // servers' queues, and every caller is late.
 func TestRequestsMoveWhileThereIsRoom(t *testing.T) {
 	w := silentVM(t, 1000*ms)
-	if w.Moves("e-0", service, begun(800*ms), silence.Room{Free: 14, Capacity: 96, Entries: 6}, 1000*ms) {
+	tight := roomy
+	tight.Free = 14
+	if w.Moves("e-0", tight, begun(800*ms), 1000*ms) != silence.Stays {
 		t.Error("it takes the room that is left to new requests")
 	}
-	if !w.Moves("e-0", service, begun(800*ms), silence.Room{Free: 15, Capacity: 96, Entries: 6}, 1000*ms) {
+	tight.Free++
+	if w.Moves("e-0", tight, begun(800*ms), 1000*ms) != silence.SilentVM {
 		t.Error("it stays though there is room")
 	}
 	w.Moved(1000 * ms)
-	if w.Moves("e-0", service, begun(800*ms), roomy, 1020*ms) {
+	if w.Moves("e-0", roomy, begun(800*ms), 1020*ms) != silence.Stays {
 		t.Error("another one follows before others can hear of the first")
 	}
-	if !w.Moves("e-0", service, begun(800*ms), roomy, 1060*ms) {
+	if w.Moves("e-0", roomy, begun(800*ms), 1060*ms) != silence.SilentVM {
 		t.Error("no other one follows")
 	}
 }
 
+// A server, or the connection to it, hangs while its VM answers. Its caller waits until it leaves.
+func TestARequestLeavesAServerThatHangs(t *testing.T) {
+	plain := silence.Service{Name: "app", Free: 12, Capacity: 18, Entries: 6}
+	look := silence.Wait{Aim: 300 * ms, Since: 1000 * ms}
+	for _, c := range []struct {
+		name    string
+		service silence.Service
+		wait    silence.Wait
+		at      time.Duration
+		want    silence.Reason
+	}{
+		{"a look-up", plain, look, 1590 * ms, silence.Stays},
+		{"a look-up, at twice its aim", plain, look, 1600 * ms, silence.Stuck},
+		{"a look-up without an aim", plain, silence.Wait{Since: 1000 * ms}, 2000 * ms, silence.Stuck},
+		{"a stream", roomy, begun(1000 * ms), 1590 * ms, silence.Stays},
+		{"a stream, at five pauses", roomy, begun(1000 * ms), 1600 * ms, silence.Stuck},
+		{"a stream of a group that stands still", roomy, begun(1000 * ms), 1900 * ms, silence.Stays},
+	} {
+		w := silence.New(silence.Config{})
+		w.Heard("e-1", service, 1600*ms)
+		if got := w.Moves("e-0", c.service, c.wait, c.at); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 func TestAVMThatAnswersIsNoLongerSilent(t *testing.T) {
 	w := silentVM(t, 1000*ms)
 	if became, again := w.Unanswered("e-0"); became || !again {
--- a/internal/gateway/again.go
+++ b/internal/gateway/again.go
@@ -19,8 +19,8 @@
 	ranBadly
 	// broken says that the request may have run, and there is no whole answer.
 	broken
-	// moved says that the backend server's VM is silent, and that the request goes to another
-	// one. It may have run, and may still.
+	// moved says that nothing came of the attempt, and that the request goes to another backend
+	// server. It may have run, and may still.
 	moved
 	// over says that the caller has gone or the time is up.
 	over
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/apricothub/apricothub/decide/silence"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/routing"
 	"github.com/apricothub/apricothub/internal/sse"
@@ -63,7 +64,7 @@
 	var guarded context.Context
 	guarded, a.guard = g.guardAttempt(ctx, t, s)
 	v := a.run(guarded)
-	next := a.guard.end()
+	next, reason := a.guard.end()
 	if a.conn != nil {
 		t.history.sent++
 		a.conn.Release(a.resp, a.whole, a.answer.KeepAlive, clock.Now())
@@ -78,8 +79,7 @@
 		a.fate = fateUnknown
 	case next != nil:
 		v = moved
-		// Its VM is watched, and says more.
-		a.fate = fateUnknown
+		a.fate, a.err = movedFor(reason)
 	}
 	g.fleet.done(s.ID, a.fate, clock.Now()-began, clock.Now())
 	if next == nil {
@@ -91,6 +91,20 @@
 	return ending{verdict: v, next: *next, err: a.err}
 }
 
+var (
+	errSilentVM = errors.New("the VM of the backend server is silent")
+	errStuck    = errors.New("nothing has come of the request for too long")
+)
+
+// movedFor is what a request that was moved says about the server, and the error to log.
+func movedFor(reason silence.Reason) (fate, error) {
+	if reason == silence.SilentVM {
+		// The VM is watched, and says more.
+		return fateUnknown, errSilentVM
+	}
+	return fateFailed, errStuck
+}
+
 func (a *try) run(ctx context.Context) verdict {
 	limit := a.g.fleet.connections(a.server.ID)
 	// A request that must not repeat goes over a new connection. A kept one may have gone
--- a/internal/gateway/silent.go
+++ b/internal/gateway/silent.go
@@ -29,8 +29,8 @@
 	waitingEach = 50 * time.Millisecond
 )
 
-// guard watches over one attempt at an engine, and ends it when the engine's VM is silent and
-// another engine has room for the request.
+// guard watches over one attempt, and ends it when nothing comes of it and another backend server
+// has room for the request.
 type guard struct {
 	g      *Gateway
 	t      *task
@@ -44,14 +44,15 @@
 	begun bool
 	// since is when the last of the answer came, or when the attempt began.
 	since time.Duration
-	// next is where the request goes instead; nil while the attempt stays.
-	next *placement
+	// next is where the request goes instead, and why; nil while the attempt stays.
+	next   *placement
+	reason silence.Reason
 }
 
-// guardAttempt begins to watch over an attempt. It returns nil and the same context for one at
-// a plain service, whose servers have no process of the system beside them.
+// guardAttempt begins to watch over an attempt. It returns nil and the same context for one of
+// which nothing can be learned or done.
 func (g *Gateway) guardAttempt(ctx context.Context, t *task, s placement) (context.Context, *guard) {
-	if !g.fleet.hasEngines(t.service) {
+	if !mayMove(t.route, t.history) && !g.fleet.hasEngines(t.service) {
 		return ctx, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -79,18 +80,18 @@
 	w.g.fleet.heard(w.server.ID, w.t.service, now)
 }
 
-// end ends the watch. It returns where the request goes instead; nil when the attempt was not
-// ended by this watch.
-func (w *guard) end() *placement {
+// end ends the watch. It returns where the request goes instead, and why; nil when the attempt was
+// not ended by this watch.
+func (w *guard) end() (*placement, silence.Reason) {
 	if w == nil {
-		return nil
+		return nil, silence.Stays
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ended = true
 	w.timer.Stop()
 	w.cancel()
-	return w.next
+	return w.next, w.reason
 }
 
 // look looks whether the request has waited for too long, and what is to be done about it.
@@ -109,7 +110,7 @@
 		go w.g.askAlive(w.server.Server)
 	}
 	if mayMove(w.t.route, w.t.history) {
-		w.next = w.g.fleet.moveFrom(w.server.ID, w.t, w.wait(), now)
+		w.next, w.reason = w.g.fleet.moveFrom(w.server.ID, w.t, w.wait(), now)
 	}
 	if w.next != nil {
 		w.cancel()
@@ -204,7 +205,8 @@
 func (f *fleet) askAlive(id string, now time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.servers[id] != nil && f.watch.Ask(id, now)
+	s := f.servers[id]
+	return s != nil && f.engines[s.Service] && f.watch.Ask(id, now)
 }
 
 // alive says that the VM of a server has answered. It returns whether it had been silent.
@@ -230,25 +232,26 @@
 	return became, again
 }
 
-// moveFrom places a request elsewhere that waits at a server whose VM is silent; nil when it
+// moveFrom places a request elsewhere that waits in vain at a server, and returns why; nil when it
 // stays. End the attempt there with done.
 //
-// Load: VMs that stand still with requests in them. Harm prevented: callers wait for these until
-// they leave, and the server runs them for nobody when it is back.
-func (f *fleet) moveFrom(id string, t *task, w silence.Wait, now time.Duration) *placement {
+// Load: VMs that stand still, and servers that hang, with requests in them. Harm prevented: callers
+// wait for these until they leave, and the server runs them for nobody when it is back.
+func (f *fleet) moveFrom(id string, t *task, w silence.Wait, now time.Duration) (*placement, silence.Reason) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	budget := f.budget(t.service)
 	free, capacity := f.table.Spare(offer(t.service), now)
-	room := silence.Room{Free: free, Capacity: capacity, Entries: f.entries}
-	if !budget.Left() || !f.watch.Moves(id, t.service, w, room, now) {
-		return nil
+	service := silence.Service{Name: t.service, LockStep: f.engines[t.service], Free: free, Capacity: capacity, Entries: f.entries}
+	reason := f.watch.Moves(id, service, w, now)
+	if reason == silence.Stays || !budget.Left() {
+		return nil, silence.Stays
 	}
 	s, code := f.pick(need{service: t.service, tried: t.tried, left: left(t.until, now)}, now)
 	if code != api.ResultCode_OK {
-		return nil
+		return nil, silence.Stays
 	}
 	budget.Retry()
 	f.watch.Moved(now)
-	return &s
+	return &s, reason
 }
--- /dev/null
+++ b/internal/gateway/stuck_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apricothub/apricothub/test/fakeplatform"
+)
+
+// inTime is well within the 6 s that callers of these tests have.
+const inTime = 4 * time.Second
+
+// hang takes a request and never answers it.
+func hang(conn net.Conn) bool {
+	_, _ = conn.Read(make([]byte, 1))
+	return false
+}
+
+// A server, or the connection to it, goes silent in the middle of a stream, and nothing closes.
+// The caller must not wait for it until its time is up: another server goes on.
+func TestAStreamThatStandsStillGoesOnAtAnotherServer(t *testing.T) {
+	t.Parallel()
+	answer := func(s fakeplatform.Seen, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, fakeplatform.StreamHead(s))
+		if s.ResumeAfter() == "" {
+			_, _ = io.WriteString(conn, fakeplatform.Chunk(fakeplatform.Event(1)+fakeplatform.Event(2)))
+			return hang(conn)
+		}
+		_, _ = io.WriteString(conn, fakeplatform.Chunk(fakeplatform.Event(3))+"0\r\n\r\n")
+		return true
+	}
+	_, _, e := world(t, answer, answer)
+	began := time.Now()
+	r := e.ask("POST", "/draft/1", "d1")
+	if want := fakeplatform.Event(1) + fakeplatform.Event(2) + fakeplatform.Event(3); r.body != want || r.err != nil {
+		t.Errorf("the caller got %q, %v", r.body, r.err)
+	}
+	if took := time.Since(began); took > inTime {
+		t.Errorf("it took %v", took)
+	}
+}
+
+// A server takes requests and answers none. A look-up is answered by another one.
+func TestALookUpThatHangsIsAnsweredByAnotherServer(t *testing.T) {
+	t.Parallel()
+	var asked atomic.Int32
+	answer := func(s fakeplatform.Seen, conn net.Conn) bool {
+		if asked.Add(1) == 1 {
+			return hang(conn)
+		}
+		return fakeplatform.Echo(s, conn)
+	}
+	_, _, e := world(t, answer, answer)
+	began := time.Now()
+	if r := e.ask("GET", "/look/1", "l1"); r.body != "answer to l1" {
+		t.Errorf("the caller got %v", r)
+	}
+	if took := time.Since(began); took > inTime {
+		t.Errorf("it took %v", took)
+	}
+}
+
+// A server takes a push and does not answer. It may have changed the shelf: no other server may
+// get it, however long it takes.
+func TestAPushThatHangsStaysWhereItIs(t *testing.T) {
+	t.Parallel()
+	var asked atomic.Int32
+	answer := func(_ fakeplatform.Seen, conn net.Conn) bool {
+		asked.Add(1)
+		return hang(conn)
+	}
+	_, _, e := world(t, answer, answer)
+	r := e.ask("POST", "/push/1", "p1")
+	if r.status != http.StatusGatewayTimeout || asked.Load() != 1 {
+		t.Errorf("the caller got %v, and %d servers the push", r, asked.Load())
+	}
+}
--- a/test/site_soak_test.go
+++ b/test/site_soak_test.go
@@ -323,7 +323,7 @@
 		path := fmt.Sprintf("d%d-%d", caller, n)
 		began := time.Now()
 		got := readOnce(client, at, path)
-		got.path, got.address, got.began = path, at, began
+		got.path, got.address, got.began, got.ended = path, at, began, time.Now()
 		want := fakeplatform.EngineStream("/draft/" + path)
 		if got.whole && got.text != want || !strings.HasPrefix(want, got.text) {
 			s.t.Errorf("seed %d: draft %s, looks whole %v, is %q", s.seed, path, got.whole, got.text)
@@ -352,9 +352,9 @@
 
 // reading is what came of a stream.
 type reading struct {
-	path    string
-	began   time.Time
-	address string
+	path         string
+	address      string
+	began, ended time.Time
 	// failure is why it is not whole.
 	failure string
 	// text are the whole events that came; whole says that it looks whole.
@@ -506,6 +506,9 @@
 		if cut.began.After(began) {
 			s.t.Errorf("seed %d: draft %s at %s, begun %v after the stop of %s, ended after %d bytes: %s",
 				s.seed, cut.path, cut.address, cut.began.Sub(began), g.ip, len(cut.text), cut.failure)
+		} else if cut.ended.After(began) {
+			s.t.Logf("seed %d: draft %s at %s, begun %v before the stop, ended %v after it, after %d bytes: %s",
+				s.seed, cut.path, cut.address, began.Sub(cut.began), cut.ended.Sub(began), len(cut.text), cut.failure)
 		}
 	}
 	s.mu.Unlock()
