Move a request that hung over a new connection

Cause: the second attempt took a kept connection too, of those whose fellows had just been found silent. Change: it takes a new one.

TestALookUpThatHungGoesOnOverANewConnection: red before (504), green 3 of 3.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 LDFLAGS := -X github.com/apricothub/apricothub/internal/version.built=$(VERSION)
 export PATH := $(CURDIR)/$(TOOLS):$(PATH)
 
-.PHONY: build tools generate fmt check unit race explore spec models failure failure-all hunt explain-drill demo test measure slopes soak clean
+.PHONY: build tools generate fmt check unit race explore spec models failure failure-all hunt explain-drill demo test measure slopes soak soak-seeds soak-large clean
 
 build:
 	@mkdir -p $(BIN)
@@ -56,9 +56,20 @@
 failure-all: build
 	go test -count=1 -timeout 20m ./test/...
 
-# Five minutes of random faults at today's size; SEED=n for another order.
+# Random faults for MINUTES=m, five if unset, at both kinds of entries, one after the other; SEED=n
+# for another order.
+SOAK := APRICOTHUB_SOAK_SEED=$(or $(SEED),1) go test -count=1 -timeout 90m -v ./test/
 soak: build
-	APRICOTHUB_SOAK=5m APRICOTHUB_SOAK_SEED=$(or $(SEED),1) go test -count=1 -timeout 15m -run TestSoak -v ./test/
+	APRICOTHUB_SOAK=$(or $(MINUTES),5)m $(SOAK) -run TestSoak
+	APRICOTHUB_SOAK=$(or $(MINUTES),5)m APRICOTHUB_SOAK_GATEWAYS=8 APRICOTHUB_SOAK_ENGINES=12 $(SOAK) -run TestSiteSoak
+
+# The soak of the site as CI runs it, with SEEDS=n seeds, fifty if unset, from SEED on, four at once.
+soak-seeds: build
+	APRICOTHUB_SOAK=12s APRICOTHUB_SOAK_SEEDS=$(or $(SEEDS),50) $(SOAK) -parallel 4 -run TestSiteSoak
+
+# The same with as many processes as the limits of development allow: 200.
+soak-large: build
+	APRICOTHUB_SOAK=$(or $(MINUTES),2)m APRICOTHUB_SOAK_GATEWAYS=60 APRICOTHUB_SOAK_ENGINES=140 $(SOAK) -run TestSiteSoak
 
 # What takes long, for a night or a landing by hand.
 hunt: race explore models failure-all soak
--- a/internal/gateway/again.go
+++ b/internal/gateway/again.go
@@ -60,6 +60,8 @@
 	sent, unsent int
 	// mayHaveRun says that at least one of them may have run it.
 	mayHaveRun bool
+	// hung says that it was moved from one of them, of which nothing came.
+	hung bool
 }
 
 // another says whether a request may be given to one more backend server after an attempt,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -80,6 +80,7 @@
 	case next != nil:
 		v = moved
 		a.fate, a.err = movedFor(reason)
+		t.history.hung = true
 	}
 	g.fleet.done(s.ID, a.fate, clock.Now()-began, clock.Now())
 	if next == nil {
@@ -109,8 +110,8 @@
 	limit := a.g.fleet.connections(a.server.ID)
 	// A request that must not repeat goes over a new connection. A kept one may have gone
 	// silent, or be closed just now: whether the request was read could not be told, and it
-	// is lost though it never ran.
-	fresh := a.t.route.Kind == routing.Once
+	// is lost though it never ran. The same for one that hung before: it has no attempts to lose.
+	fresh := a.t.route.Kind == routing.Once || a.t.history.hung
 	conn, err := a.g.pool.Get(ctx, a.server.ID, a.server.Address, limit, fresh)
 	if err != nil {
 		if errors.Is(err, upstream.ErrFull) {
--- a/internal/gateway/stuck_test.go
+++ b/internal/gateway/stuck_test.go
@@ -79,3 +79,23 @@
 		t.Errorf("the caller got %v, and %d servers the push", r, asked.Load())
 	}
 }
+
+// All kept connections have gone silent, and new ones work. A look-up that hung on one must not
+// hang on the next one too, when it has no attempt left after that.
+func TestALookUpThatHungGoesOnOverANewConnection(t *testing.T) {
+	t.Parallel()
+	answer := func(s fakeplatform.Seen, conn net.Conn) bool {
+		if s.ID() == "l1" && !s.First {
+			return hang(conn)
+		}
+		return fakeplatform.Echo(s, conn)
+	}
+	_, servers, e := world(t, answer, answer)
+	e.until("a connection to each server is kept", func() bool {
+		e.ask("GET", "/look/1", "first")
+		return len(servers[0].Got()) > 0 && len(servers[1].Got()) > 0
+	})
+	if r := e.ask("GET", "/look/1", "l1"); r.body != "answer to l1" {
+		t.Errorf("the caller got %v", r)
+	}
+}
--- a/test/fakeplatform/stream.go
+++ b/test/fakeplatform/stream.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// unbroken says that the group works on since an epoch.
+func (g *Group) unbroken(epoch int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.epoch == epoch && !g.broken
+}
+
 // Runs are the requests that engines began to work on.
 func (g *Group) Runs() []Run {
 	g.mu.Lock()
@@ -71,6 +78,14 @@
 func (g *Group) serveStream(w http.ResponseWriter, r *http.Request, at int) {
 	id := r.Header.Get("Attempt-Id")
 	g.mu.Lock()
+	epoch, broken := g.epoch, g.broken
+	if broken {
+		g.mu.Unlock()
+		w.Header().Set("Attempt-Id", id)
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	g.runs = append(g.runs, Run{Request: id, Rank: at, At: time.Now()})
 	g.mu.Unlock()
 	w.Header().Set("Attempt-Id", id)
@@ -83,6 +98,9 @@
 	for n := after + 1; n <= engineEvents; n++ {
 		time.Sleep(eventEach)
 		g.awake(at)
+		if !g.unbroken(epoch) {
+			panic(http.ErrAbortHandler)
+		}
 		if _, err := io.WriteString(w, EngineEvent(r.URL.Path, n)); err != nil {
 			return
 		}
