Ask engines themselves at once while the process beside them refuses

Cause: with 63 processes replaced in turn one refuses connections at nearly any moment. Each held up a change of maps until it had been silent for 0.6 s, and by then the next one did; a group that was held meanwhile stood for that long.

Change: a refused connection says that nothing was sent and that the VM lives. The engine itself is asked in the same look.

--- a/internal/experts/asking.go
+++ b/internal/experts/asking.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -27,11 +28,10 @@
 			continue
 		}
 		direct := c.direct(e)
-		answers[i].direct = direct
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			answers[i].reply, answers[i].err = c.ask(ctx, e, req, direct)
+			answers[i] = c.ask(ctx, e, req, direct)
 		}()
 	}
 	wait.Wait()
@@ -107,17 +107,41 @@
 	silentAt time.Duration
 }
 
-// ask asks the process beside an engine, or with direct the engine itself. Counts and lists
-// are not read from afar: they are dear, and reading them stops the group.
-func (c *Coordinator) ask(ctx context.Context, e Engine, req *api.RankRequest, direct bool) (*api.RankReply, error) {
-	if direct {
-		reply := ranks.Ask(ctx, platform.NewEngine(e.Address, c.client), &api.RankRequest{Order: req.GetOrder()})
-		return reply, failureOf(reply)
+// ask asks the process beside an engine, or the engine itself: with direct, or when that process
+// refuses the connection and so has taken no order.
+//
+// Load: the processes beside engines are replaced one after the other. Harm prevented: whichever
+// refuses at the moment keeps the whole group held until it is back, and the next one after it.
+func (c *Coordinator) ask(ctx context.Context, e Engine, req *api.RankRequest, direct bool) answer {
+	if !direct {
+		a := c.askNear(ctx, e, req)
+		if !isRefused(a.err) {
+			return a
+		}
 	}
+	return c.askAfar(ctx, e, req)
+}
+
+// askAfar asks an engine itself. Counts and lists are not read from afar: they are dear, and
+// reading them stops the group.
+func (c *Coordinator) askAfar(ctx context.Context, e Engine, req *api.RankRequest) answer {
+	reply := ranks.Ask(ctx, platform.NewEngine(e.Address, c.client), &api.RankRequest{Order: req.GetOrder()})
+	return answer{reply: reply, direct: true, err: failureOf(reply)}
+}
+
+// askNear asks the process beside an engine.
+func (c *Coordinator) askNear(ctx context.Context, e Engine, req *api.RankRequest) answer {
 	if stopsPasses(req.GetOrder()) {
 		return c.stopOrGo(ctx, e, req.GetOrder())
 	}
-	return c.askBeside(ctx, e, req)
+	reply, err := c.askBeside(ctx, e, req)
+	return answer{reply: reply, err: err}
+}
+
+// isRefused says that nothing was sent, since nobody listens: the VM lives, and the process on it
+// is starting again.
+func isRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // askBeside asks the process beside an engine.
@@ -144,14 +168,18 @@
 // Load: a VM that stands still at any moment. Harm prevented: the one that has just passed an
 // order to hold on stands still with its engine, out of everyone's reach, and the whole group
 // with it until it wakes. A coordinator that stands still instead is followed by another.
-func (c *Coordinator) stopOrGo(ctx context.Context, e Engine, o *api.RankOrder) (*api.RankReply, error) {
+func (c *Coordinator) stopOrGo(ctx context.Context, e Engine, o *api.RankOrder) answer {
 	made, failure := ranks.Order(ctx, platform.NewEngine(e.Address, c.client), o)
-	reply, err := c.askBeside(ctx, e, &api.RankRequest{})
-	if err != nil {
-		return nil, err
+	a := answer{}
+	a.reply, a.err = c.askBeside(ctx, e, &api.RankRequest{})
+	if isRefused(a.err) {
+		a = c.askAfar(ctx, e, &api.RankRequest{})
+	}
+	if a.err != nil {
+		return answer{err: a.err, direct: a.direct}
 	}
-	reply.Result = made
-	return reply, failure
+	a.reply.Result, a.err = made, failure
+	return a
 }
 
 // failureOf returns the failure that a reply tells of, if any.
--- a/internal/experts/coordinator_test.go
+++ b/internal/experts/coordinator_test.go
@@ -38,6 +38,8 @@
 	silent  [groupSize]atomic.Bool
 	// held counts the orders that stop the group, or let it go, of processes beside engines.
 	held atomic.Int64
+	// beside are the processes beside engines.
+	beside [groupSize]*http.Server
 }
 
 func newTestGroup(t *testing.T, drift int64) *testGroup {
@@ -83,6 +85,7 @@
 		_, _ = w.Write(answer)
 	})}
 	go func() { _ = server.Serve(l) }()
+	g.beside[at] = server
 	t.Cleanup(func() { _ = server.Close() })
 }
 
@@ -215,3 +218,40 @@
 	coordinate(t, g, newStoreAfter(t, refusals))
 	until(t, "the popular expert stands on several ranks", func() bool { return g.State().Replicas >= 3 })
 }
+
+// The processes beside engines are replaced one after the other, so that one refuses connections
+// at any time, while popularity moves on. Maps must follow it within seconds all the same.
+func TestMapsAreChangedWhileProcessesBesideEnginesAreReplaced(t *testing.T) {
+	t.Parallel()
+	g := newTestGroup(t, 120)
+	coordinate(t, g, newStore(t))
+	until(t, "a map is in use", func() bool { return g.State().Versions > 1 })
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for n := 0; ; n++ {
+			at := n % groupSize
+			_ = g.beside[at].Close()
+			select {
+			case <-stop:
+				return
+			case <-time.After(500 * time.Millisecond):
+			}
+			g.listenBeside(t, at, g.Engines[at])
+		}
+	}()
+	versions, changed, longest := g.State().Versions, time.Now(), time.Duration(0)
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if now := g.State().Versions; now != versions {
+			versions, changed = now, time.Now()
+		}
+		longest = max(longest, time.Since(changed))
+	}
+	close(stop)
+	<-stopped
+	const followed = 4 * time.Second
+	t.Logf("no new map for %v at most", longest)
+	if longest > followed {
+		t.Errorf("popularity is not followed within %v", followed)
+	}
+}
