Say how long a request may wait in one place

Patience and the longer wait were one function twice; a method and a local name of the fleet were the same word. Behaviour as before: tests of decide/silence and the gateway with the race detector green.

--- a/decide/silence/silence.go
+++ b/decide/silence/silence.go
@@ -116,32 +116,34 @@
 	}
 }
 
-// Patience is how long a request waits before its server's VM is asked.
-func (w *Watch) Patience(a Wait) time.Duration {
+// bound is how long a request may wait, as parts of what its route asks for, or where the route
+// says nothing.
+type bound struct {
+	aims, pauses float64
+	first, gap   time.Duration
+}
+
+func (b bound) of(a Wait) time.Duration {
 	switch {
 	case a.Begun && a.Pause > 0:
-		return a.Pause
+		return time.Duration(b.pauses * float64(a.Pause))
 	case a.Begun:
-		return w.cfg.Gap
+		return b.gap
 	case a.Aim > 0:
-		return time.Duration(w.cfg.FirstPart * float64(a.Aim))
+		return time.Duration(b.aims * float64(a.Aim))
 	default:
-		return w.cfg.First
+		return b.first
 	}
 }
 
+// Patience is how long a request waits before its server's VM is asked.
+func (w *Watch) Patience(a Wait) time.Duration {
+	return bound{aims: w.cfg.FirstPart, pauses: 1, first: w.cfg.First, gap: w.cfg.Gap}.of(a)
+}
+
 // stuck is how long a request waits before it is moved though its server's VM answers.
 func (w *Watch) stuck(a Wait) time.Duration {
-	switch {
-	case a.Begun && a.Pause > 0:
-		return time.Duration(w.cfg.StuckPauses * float64(a.Pause))
-	case a.Begun:
-		return w.cfg.StuckGap
-	case a.Aim > 0:
-		return time.Duration(w.cfg.StuckPart * float64(a.Aim))
-	default:
-		return w.cfg.StuckFirst
-	}
+	return bound{aims: w.cfg.StuckPart, pauses: w.cfg.StuckPauses, first: w.cfg.StuckFirst, gap: w.cfg.StuckGap}.of(a)
 }
 
 // Heard says that something came from a server itself.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -241,7 +241,7 @@
 	paced := make(map[string]bool)
 	for id, s := range f.servers {
 		all[s.Service]++
-		if f.out(id, now) {
+		if f.isOut(id, now) {
 			out[s.Service]++
 		} else if s.limit() > 0 && !s.closed && !s.leaves {
 			paced[s.Service] = true
@@ -256,14 +256,14 @@
 		})
 		// When all of a service fail, something else is at fault, and none is worse than
 		// the others.
-		f.table.Suspect(id, s.closed || s.spared(paced) || f.shut[s.Service] || f.out(id, now) && out[s.Service] < all[s.Service])
+		f.table.Suspect(id, s.closed || s.spared(paced) || f.shut[s.Service] || f.isOut(id, now) && out[s.Service] < all[s.Service])
 	}
 	f.admit(now)
 }
 
-// out says whether a server is left out for what it does: it fails, or its VM is silent. The
+// isOut says whether a server is left out for what it does: it fails, or its VM is silent. The
 // caller holds the lock.
-func (f *fleet) out(id string, now time.Duration) bool {
+func (f *fleet) isOut(id string, now time.Duration) bool {
 	return f.judge.Out(id, now) || f.watch.Silent(id)
 }
 
--- a/test/site_soak_test.go
+++ b/test/site_soak_test.go
@@ -72,9 +72,9 @@
 	drafts, pushed int
 	// cut are the drafts that were sent and not served so.
 	cut []reading
-	// silent are refusals that do not say when to come back.
-	silent int
-	counts map[string]int
+	// untimed are refusals that do not say when to come back.
+	untimed int
+	counts  map[string]int
 }
 
 // breaker breaks things of its own, so that several can work beside each other.
@@ -346,7 +346,7 @@
 		s.cut = append(s.cut, got)
 	}
 	if got.refused && !got.comeBack {
-		s.silent++
+		s.untimed++
 	}
 }
 
@@ -538,8 +538,8 @@
 	if err := s.history.Check(heardOf+contact, time.Minute); err != nil {
 		s.t.Errorf("seed %d: %v", s.seed, err)
 	}
-	if s.silent > 0 {
-		s.t.Errorf("seed %d: %d refusals do not say when to come back", s.seed, s.silent)
+	if s.untimed > 0 {
+		s.t.Errorf("seed %d: %d refusals do not say when to come back", s.seed, s.untimed)
 	}
 	window := time.Second - stalls - longestDelay
 	for id, a := range s.arrived {
