Note each piece of an answer, not its head and events alone

Found by reading the change. Since requests that hang are moved, the watch over an attempt heard the head of a plain answer and nothing of its body: one that came for longer than 0.75 s counted as hung, and was asked for again at another server. Where the caller had some of it (answers over 1 MB) the second one cannot be joined, and the answer would have been cut; that was not seen.

Change: the body tells the watch of each piece, for streams and others alike, in place of a call for each event.

TestALongAnswerThatComesSlowlyIsPassedOnWhole: red before (two servers asked), green after; the gateway's tests with the race detector green.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -129,6 +129,7 @@
 	}
 	defer func() { _ = a.resp.Body.Close() }()
 	a.guard.heard()
+	a.resp.Body = heardBody{a.resp.Body, a.guard}
 	a.answer = platform.ReadAnswer(a.resp.StatusCode, a.resp.Header)
 	if a.answer.NotRun {
 		return a.refused()
@@ -270,7 +271,6 @@
 		if err != nil {
 			return a.broke(err)
 		}
-		a.guard.heard()
 		if !follows(event.ID, out.lastID) {
 			return a.broke(errors.Errorf("event %q does not follow event %q", event.ID, out.lastID))
 		}
--- a/internal/gateway/silent.go
+++ b/internal/gateway/silent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -80,6 +81,20 @@
 	w.g.fleet.heard(w.server.ID, w.t.service, now)
 }
 
+// heardBody is the body of an answer, each piece of which is noted.
+type heardBody struct {
+	io.ReadCloser
+	guard *guard
+}
+
+func (b heardBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.guard.heard()
+	}
+	return n, err
+}
+
 // end ends the watch. It returns where the request goes instead, and why; nil when the attempt was
 // not ended by this watch.
 func (w *guard) end() (*placement, silence.Reason) {
--- a/internal/gateway/stuck_test.go
+++ b/internal/gateway/stuck_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -99,3 +101,29 @@
 		t.Errorf("the caller got %v", r)
 	}
 }
+
+// A long answer comes piece by piece, for longer than one of which nothing comes may take. It must
+// not be taken for one that hangs, and broken off where the caller has some of it already.
+func TestALongAnswerThatComesSlowlyIsPassedOnWhole(t *testing.T) {
+	t.Parallel()
+	const pieces, size = 12, 200 << 10
+	piece := strings.Repeat("x", size)
+	answer := func(s fakeplatform.Seen, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, fmt.Sprintf(
+			"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nUpstream-Signature: sig\r\nContent-Length: %d\r\n\r\n", s.ID(), pieces*size))
+		for range pieces {
+			if _, err := io.WriteString(conn, piece); err != nil {
+				return false
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		return true
+	}
+	_, servers, e := world(t, answer, answer)
+	if r := e.ask("GET", "/look/1", "long"); len(r.body) != pieces*size || r.err != nil {
+		t.Errorf("the caller got %d bytes of %d, %v", len(r.body), pieces*size, r.err)
+	}
+	if n := len(servers[0].Got()) + len(servers[1].Got()); n != 1 {
+		t.Errorf("%d servers were asked", n)
+	}
+}
