--- a/coord/peering/peering.go
+++ b/coord/peering/peering.go
@@ -8,6 +8,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/apricothub/apricothub/api"
@@ -66,6 +67,8 @@
 	cfg   Config
 	self  string
 	peers map[string]*peer
+	// sorted are the peers in the order of their IPs.
+	sorted []*peer
 }
 
 // peer is another entry, identified by its IP.
@@ -89,7 +92,33 @@
 	if ip == "" || ip == t.self || t.peers[ip] != nil {
 		return
 	}
-	t.peers[ip] = &peer{ip: ip, addedAt: now}
+	p := &peer{ip: ip, addedAt: now}
+	t.peers[ip] = p
+	t.sorted = slices.Insert(t.sorted, t.position(ip), p)
+}
+
+// position returns the index in sorted that a peer has or would have.
+func (t *Table) position(ip string) int {
+	i, _ := slices.BinarySearchFunc(t.sorted, ip, func(p *peer, ip string) int { return strings.Compare(p.ip, ip) })
+	return i
+}
+
+// LastHeartbeat returns the last heartbeat of the entry at ip; nil for none.
+func (t *Table) LastHeartbeat(ip string) *api.PeerBeat {
+	if p := t.peers[ip]; p != nil {
+		return p.lastHeartbeat
+	}
+	return nil
+}
+
+// IsUrgent reports whether a heartbeat changes what must be acted on at once: the entry begins to
+// leave, has another fence, or reports other impairments of backend servers. old is the entry's
+// previous heartbeat; nil for none.
+func IsUrgent(old, heartbeat *api.PeerBeat) bool {
+	return heartbeat.GetLeaving() != old.GetLeaving() || heartbeat.GetFence() != old.GetFence() ||
+		!slices.EqualFunc(heartbeat.GetPaces(), old.GetPaces(), func(a, b *api.ServerPace) bool {
+			return a.GetId() == b.GetId() && a.GetPace() == b.GetPace() && a.GetClosed() == b.GetClosed()
+		})
 }
 
 // HandleHeartbeat processes a heartbeat. It returns false for one that is older than the last one
@@ -122,7 +151,7 @@
 // liveCount returns the number of other live entries.
 func (t *Table) liveCount(now time.Duration) int {
 	live := 0
-	for _, p := range t.peers {
+	for _, p := range t.sorted {
 		if t.isLive(p, now) {
 			live++
 		}
@@ -145,21 +174,12 @@
 }
 
 func (t *Table) heartbeatsWithin(maxAge, now time.Duration) []*api.PeerBeat {
-	var heartbeats []*api.PeerBeat
-	for _, p := range t.peers {
+	heartbeats := make([]*api.PeerBeat, 0, len(t.sorted))
+	for _, p := range t.sorted {
 		if p.heardWithin(maxAge, now) {
 			heartbeats = append(heartbeats, p.lastHeartbeat)
 		}
 	}
-	slices.SortFunc(heartbeats, func(a, b *api.PeerBeat) int {
-		switch {
-		case a.GetIp() < b.GetIp():
-			return -1
-		case a.GetIp() > b.GetIp():
-			return 1
-		}
-		return 0
-	})
 	return heartbeats
 }
 
@@ -174,7 +194,7 @@
 // leaves and then falls silent is gone.
 func (t *Table) MaybeLiveCount(now time.Duration) int {
 	n := 0
-	for _, p := range t.peers {
+	for _, p := range t.sorted {
 		switch {
 		case t.isLive(p, now):
 			n++
@@ -242,12 +262,15 @@
 // live entry.
 func (t *Table) TakeDue(now time.Duration, allLive bool) []string {
 	interval := t.heartbeatInterval(t.liveCount(now))
-	var due []string
-	for ip, p := range t.peers {
-		if now-max(p.lastHeard, p.addedAt) > t.cfg.ForgetAfter {
-			delete(t.peers, ip)
-			continue
+	t.sorted = slices.DeleteFunc(t.sorted, func(p *peer) bool {
+		isForgotten := now-max(p.lastHeard, p.addedAt) > t.cfg.ForgetAfter
+		if isForgotten {
+			delete(t.peers, p.ip)
 		}
+		return isForgotten
+	})
+	var due []string
+	for _, p := range t.sorted {
 		wait := t.cfg.ProbeInterval
 		if t.isLive(p, now) {
 			wait = interval
@@ -260,7 +283,7 @@
 		}
 		p.contacted = true
 		p.lastSent = now
-		due = append(due, ip)
+		due = append(due, p.ip)
 	}
 	return due
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log"
@@ -21,7 +22,8 @@
 )
 
 // tickInterval is how often the control goroutine checks for what changes with time alone: silent
-// entries, expired registrations, heartbeats that are due.
+// entries, expired registrations, heartbeats that are due. Heartbeats that are not urgent also wait
+// for it.
 const tickInterval = 50 * time.Millisecond
 
 // view is the state that requests are served by. It is immutable: the control goroutine replaces it
@@ -55,6 +57,7 @@
 	operators, servers *keyed.Table
 	registry           *registry.Registry
 	peers              *peering.Table
+	peerLoads          *peering.LoadSums
 	memberPruner       peering.MemberPruner
 	table              *routing.Table
 	// domainsOut are the failure domains that operators have taken out.
@@ -91,6 +94,7 @@
 		g: g, logger: logger,
 		operators: keyed.New(), servers: keyed.New(),
 		registry: registry.New(), peers: peering.New(g.settings.IP, peering.Config{}),
+		peerLoads:  peering.NewLoadSums(),
 		domainsOut: make(map[string]bool), startedAt: now,
 	}
 	for _, seed := range g.settings.Seeds {
@@ -110,7 +114,9 @@
 		case u := <-c.g.updates:
 			c.applyUpdate(u)
 		case b := <-c.g.heartbeats:
-			c.peers.HandleHeartbeat(b, clock.Now())
+			if !c.applyHeartbeat(b, clock.Now()) {
+				continue
+			}
 		case s := <-c.g.fetchedStates:
 			c.applyPeerState(s)
 		case req := <-c.g.stateRequests:
@@ -126,6 +132,20 @@
 	}
 }
 
+// applyHeartbeat applies a heartbeat of another entry, and reports whether to reconcile at once.
+//
+// Each of n entries receives some n heartbeats in every heartbeat interval, and reconciling takes
+// time in proportion to n. So only the requests in flight are updated for each heartbeat, and the
+// rest waits for the next tick unless it is urgent.
+func (c *control) applyHeartbeat(b *api.PeerBeat, now time.Duration) bool {
+	old := c.peers.LastHeartbeat(b.GetIp())
+	if !c.peers.HandleHeartbeat(b, now) {
+		return false
+	}
+	c.g.fleet.setOthersInFlight(c.peerLoads.Set(b.GetIp(), b.GetLoads()), c.peerLoads, now)
+	return peering.IsUrgent(old, b) || c.isAhead(b) && c.mayRequestPeerState(now)
+}
+
 // applyUpdate applies what a follower has read.
 func (c *control) applyUpdate(u topicUpdate) {
 	table := c.operators
@@ -237,7 +257,8 @@
 		c.entryCounts = counts
 		c.g.fleet.setServers(c.registry.Registrations(), c.domainsOut, c.table, counts, now)
 	}
-	c.g.fleet.setPeerReports(sumInFlight(live), c.reportedImpairments(live), now)
+	c.peerLoads.Retain(live)
+	c.g.fleet.setPeerReports(c.peerLoads, c.reportedImpairments(live), now)
 	c.publishView(live, now)
 	self := &api.PeerBeat{Ip: c.g.settings.IP, FailureDomain: c.g.settings.FailureDomain, Serving: c.g.view.Load().ready}
 	c.decideStoreReads(self, live, now)
@@ -288,17 +309,6 @@
 	c.liveVMs = liveVMs
 }
 
-// sumInFlight sums the other entries' requests in flight by backend server.
-func sumInFlight(live []*api.PeerBeat) map[string]int {
-	inFlight := make(map[string]int)
-	for _, b := range live {
-		for _, l := range b.GetLoads() {
-			inFlight[l.GetId()] += int(l.GetInFlight())
-		}
-	}
-	return inFlight
-}
-
 // publishView publishes the view that requests are served by.
 func (c *control) publishView(live []*api.PeerBeat, now time.Duration) {
 	table := c.servingTable(now)
@@ -364,6 +374,7 @@
 	for id, pace := range c.g.experts.Impairments() {
 		b.Paces = append(b.Paces, &api.ServerPace{Id: id, Pace: float32(pace.Slowdown), Closed: pace.Closed})
 	}
+	slices.SortFunc(b.Paces, func(p, q *api.ServerPace) int { return strings.Compare(p.GetId(), q.GetId()) })
 	others := make(map[string]bool)
 	for i := range min(len(live), maxOthers) {
 		others[live[(int(c.sequence)*maxOthers+i)%len(live)].GetIp()] = true
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/coord/peering"
 	"github.com/apricothub/apricothub/coord/registry"
 	"github.com/apricothub/apricothub/decide/admit"
 	"github.com/apricothub/apricothub/decide/arrivals"
@@ -202,13 +203,29 @@
 	s.arrivals.Set(limit, f.maybeLive, now)
 }
 
-// setPeerReports sets the other entries' requests in flight by server, and the servers that are
-// slow or closed.
-func (f *fleet) setPeerReports(others map[string]int, impairments map[string]experts.Impairment, now time.Duration) {
+// setOthersInFlight updates the other entries' requests in flight at some of the servers.
+func (f *fleet) setOthersInFlight(ids []string, others *peering.LoadSums, now time.Duration) {
+	if len(ids) == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		if s := f.servers[id]; s != nil {
+			s.othersInFlight = others.At(id)
+			f.reportLoad(s, now)
+		}
+	}
+	f.updateCapacity(now)
+}
+
+// setPeerReports sets the other entries' requests in flight at all servers, and the servers that
+// are slow or closed.
+func (f *fleet) setPeerReports(others *peering.LoadSums, impairments map[string]experts.Impairment, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, s := range f.servers {
-		s.othersInFlight = others[id]
+		s.othersInFlight = others.At(id)
 		f.setImpairment(id, s, impairments[id])
 	}
 	f.updatePlacement(now)
@@ -260,9 +277,7 @@
 		if s.arrivals != nil {
 			s.arrivals.Tick(now)
 		}
-		f.table.Report(id, now, place.Report{
-			Limit: s.inFlightLimit(), FullLimit: s.Concurrency, Running: s.ownInFlight + s.othersInFlight, WorkTime: s.workTime,
-		})
+		f.reportLoad(s, now)
 		// When all servers of a service fail, the cause lies elsewhere, and no server is worse than
 		// the others.
 		f.table.SetSuspect(id, s.closed || s.isTooSlow(hasFast) || f.refusing[s.Service] || f.isUnavailable(id, now) && unavailable[s.Service] < total[s.Service])
@@ -270,6 +285,13 @@
 	f.updateCapacity(now)
 }
 
+// reportLoad passes a server's load to the placement table. The caller holds the lock.
+func (f *fleet) reportLoad(s *server, now time.Duration) {
+	f.table.Report(s.ID, now, place.Report{
+		Limit: s.inFlightLimit(), FullLimit: s.Concurrency, Running: s.ownInFlight + s.othersInFlight, WorkTime: s.workTime,
+	})
+}
+
 // isUnavailable reports whether a server is ejected for failures or its VM is silent. The caller
 // holds the lock.
 func (f *fleet) isUnavailable(id string, now time.Duration) bool {
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/coord/peering"
 	"github.com/apricothub/apricothub/coord/registry"
 	"github.com/apricothub/apricothub/internal/experts"
 	"github.com/apricothub/apricothub/internal/routing"
@@ -34,6 +35,17 @@
 	return out
 }
 
+// loadSums returns sums over one other entry with the given requests in flight.
+func loadSums(inFlight map[string]int) *peering.LoadSums {
+	var loads []*api.ServerLoad
+	for id, n := range inFlight {
+		loads = append(loads, &api.ServerLoad{Id: id, InFlight: uint32(n)})
+	}
+	sums := peering.NewLoadSums()
+	sums.Set("10.0.1.1", loads)
+	return sums
+}
+
 // newTestFleet returns the fleet of one of live entries; seed makes their choices differ.
 func newTestFleet(n, concurrency, live int, coldRate float64, seed ...uint64) *fleet {
 	rng := rand.New(rand.NewPCG(1, 1))
@@ -148,7 +160,7 @@
 						others[r.id]++
 					}
 				}
-				f.setPeerReports(others, nil, now)
+				f.setPeerReports(loadSums(others), nil, now)
 			}
 		}
 		if now > 5*time.Second {
@@ -170,7 +182,7 @@
 // ranks, so it must get hardly any.
 func TestASlowEngineGetsLittle(t *testing.T) {
 	f := newTestFleet(12, 12, 1, 0)
-	f.setPeerReports(nil, map[string]experts.Impairment{"i-3": {Slowdown: 5}}, 0)
+	f.setPeerReports(peering.NewLoadSums(), map[string]experts.Impairment{"i-3": {Slowdown: 5}}, 0)
 	got := map[string]int{}
 	for range 90 {
 		if id, code := f.pickApp(0); code == api.ResultCode_OK {
@@ -240,7 +252,7 @@
 	const picks = 2000
 	f := newTestFleet(4, 12, 1, 0)
 	slow := map[string]experts.Impairment{"i-1": {Slowdown: 5}}
-	f.setPeerReports(nil, slow, 0)
+	f.setPeerReports(peering.NewLoadSums(), slow, 0)
 	// First while all are idle, then until the fast ones are full.
 	for i := range 2 * picks {
 		id, code := f.pickApp(0)
@@ -255,7 +267,7 @@
 		slow[id] = experts.Impairment{Slowdown: 5}
 	}
 	all := newTestFleet(4, 12, 1, 0)
-	all.setPeerReports(nil, slow, 0)
+	all.setPeerReports(peering.NewLoadSums(), slow, 0)
 	if _, code := all.pickApp(0); code != api.ResultCode_OK {
 		t.Errorf("with all servers slow: %v", code)
 	}
@@ -268,7 +280,7 @@
 	both := registrations(2, 12)
 	both[0].FailureDomain = "out"
 	f.setServers(both, map[string]bool{"out": true}, serviceTable(0), entryCounts{1, 1}, 0)
-	f.setPeerReports(nil, map[string]experts.Impairment{"i-1": {Slowdown: 5}}, 0)
+	f.setPeerReports(peering.NewLoadSums(), map[string]experts.Impairment{"i-1": {Slowdown: 5}}, 0)
 	if id, code := f.pickApp(0); code != api.ResultCode_OK || id != "i-1" {
 		t.Errorf("%q, %v", id, code)
 	}
@@ -277,9 +289,9 @@
 // The only fast server is unreachable and ejected for a while. The slow one must serve.
 func TestASlowServerServesWhenTheFastOnesFail(t *testing.T) {
 	f := newTestFleet(2, 12, 1, 0)
-	f.setPeerReports(nil, map[string]experts.Impairment{"i-1": {Slowdown: 5}}, 0)
+	f.setPeerReports(peering.NewLoadSums(), map[string]experts.Impairment{"i-1": {Slowdown: 5}}, 0)
 	f.ejector.RecordUnreachable("i-0", 0)
-	f.setPeerReports(nil, map[string]experts.Impairment{"i-1": {Slowdown: 5}}, msec)
+	f.setPeerReports(peering.NewLoadSums(), map[string]experts.Impairment{"i-1": {Slowdown: 5}}, msec)
 	if id, code := f.pickApp(msec); code != api.ResultCode_OK || id != "i-1" {
 		t.Errorf("%q, %v", id, code)
 	}
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -91,16 +91,16 @@
 // this the entry would keep an old configuration, accept a key that was removed, and send to a
 // failure domain that is out.
 func (c *control) requestPeerState(live []*api.PeerBeat, now time.Duration) {
-	if c.stateRequested || now-c.stateRequestedAt < stateRequestInterval {
+	if !c.mayRequestPeerState(now) {
 		return
 	}
 	var ahead []*api.PeerBeat
 	for _, b := range live {
-		if b.GetOperatorsChanged() > c.operators.NextOffset() || b.GetServersChanged() > c.servers.NextOffset() {
+		if c.isAhead(b) {
 			ahead = append(ahead, b)
 		}
 	}
-	if len(ahead) == 0 || c.g.readsStore.Load() && !c.isStale(now) {
+	if len(ahead) == 0 {
 		return
 	}
 	c.stateRequested = true
@@ -110,6 +110,19 @@
 	go c.g.fetchState(b.GetIp(), c.operators.NextOffset(), c.servers.NextOffset())
 }
 
+// mayRequestPeerState reports whether this entry may fetch records from another one now.
+func (c *control) mayRequestPeerState(now time.Duration) bool {
+	if c.stateRequested || now-c.stateRequestedAt < stateRequestInterval {
+		return false
+	}
+	return !c.g.readsStore.Load() || c.isStale(now)
+}
+
+// isAhead reports whether an entry has read records beyond this one's.
+func (c *control) isAhead(b *api.PeerBeat) bool {
+	return b.GetOperatorsChanged() > c.operators.NextOffset() || b.GetServersChanged() > c.servers.NextOffset()
+}
+
 // isStale reports whether this entry's own reads of the store are stale, so that others may know
 // more.
 func (c *control) isStale(now time.Duration) bool {
