--- a/decide/place/place_test.go
+++ b/decide/place/place_test.go
@@ -277,3 +277,46 @@
 		}
 	}
 }
+
+// An entry with idle connections to a few of many servers must reuse them, but only while that loads
+// no server more than the better of two random choices would.
+func TestConnectedServerIsChosenUnlessBusier(t *testing.T) {
+	table := NewTable(rand.New(rand.NewPCG(1, 1)), Config{})
+	var servers []Server
+	for i := range 100 {
+		servers = append(servers, Server{VM: fmt.Sprint("vm-", i), Offers: []string{"m"}, Weight: 1})
+	}
+	table.SetServers(servers)
+	report := func(vm string, running, limit int) {
+		table.Report(vm, 0, Report{Limit: limit, FullLimit: 6, Running: running, WorkTime: time.Second})
+	}
+	for _, s := range servers {
+		report(s.VM, 2, 6)
+	}
+	picked := func(connected ...string) string {
+		vm, code := table.Pick(0, Request{Offer: "m", Connected: connected})
+		if code != api.ResultCode_OK {
+			t.Fatalf("no server: %v", code)
+		}
+		return vm
+	}
+	if vm := picked("vm-7", "vm-9"); vm != "vm-7" {
+		t.Errorf("%s was chosen, want the connected server", vm)
+	}
+	report("vm-9", 1, 6)
+	if vm := picked("vm-7", "vm-9"); vm != "vm-9" {
+		t.Errorf("%s was chosen, want the connected server with the least load", vm)
+	}
+	for name, c := range map[string]struct{ running, limit int }{"busier": {3, 6}, "full": {7, 6}, "cold": {0, 3}} {
+		report("vm-7", c.running, c.limit)
+		chosen := 0
+		for range 50 {
+			if picked("vm-7") == "vm-7" {
+				chosen++
+			}
+		}
+		if chosen > 5 {
+			t.Errorf("%s: the connected server was chosen %d times of 50", name, chosen)
+		}
+	}
+}
