--- a/internal/experts/asking.go
+++ b/internal/experts/asking.go
@@ -16,23 +16,27 @@
 	"github.com/apricothub/apricothub/platform"
 )
 
+// requestFunc returns the request for an engine, or nil for none. It is called concurrently. direct
+// means that the request goes to the engine itself, which holds no maps that changes could apply
+// to.
+type requestFunc func(e Engine, direct bool) *api.RankRequest
+
 // callAll sends requests to all engines concurrently and waits for the responses. Engines for which
 // request returns nil are skipped.
-func (c *Coordinator) callAll(ctx context.Context, engines []Engine, request func(Engine) *api.RankRequest) []response {
+func (c *Coordinator) callAll(ctx context.Context, engines []Engine, request requestFunc) []response {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	responses := make([]response, len(engines))
 	var wait sync.WaitGroup
 	for i, e := range engines {
-		req := request(e)
-		if req == nil {
+		if request(e, false) == nil {
 			continue
 		}
 		direct := c.shouldBypassAgent(e)
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			responses[i] = c.call(ctx, e, req, direct)
+			responses[i] = c.call(ctx, e, request, direct)
 		}()
 	}
 	wait.Wait()
@@ -112,14 +116,14 @@
 //
 // Without the second case, a rolling replacement of rank agents would keep the whole group held
 // until the agent that is down is back, and then the next one.
-func (c *Coordinator) call(ctx context.Context, e Engine, req *api.RankRequest, direct bool) response {
+func (c *Coordinator) call(ctx context.Context, e Engine, request requestFunc, direct bool) response {
 	if !direct {
-		resp := c.callThroughAgent(ctx, e, req)
+		resp := c.callThroughAgent(ctx, e, request(e, false))
 		if !isConnectionRefused(resp.err) {
 			return resp
 		}
 	}
-	return c.callEngine(ctx, e, req)
+	return c.callEngine(ctx, e, request(e, true))
 }
 
 // callEngine sends the order of a request to the engine itself and reads its state. It reads no
--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -106,6 +106,8 @@
 	backoffUntil time.Duration
 	versionCount int64
 	groups       map[string]*group
+	// countsReadAt is when the counts were last read.
+	countsReadAt time.Duration
 	agents       map[string]*agentState // by engine ID
 	// impairments holds the engines that are slow or closed. Other goroutines read it.
 	impairments atomic.Pointer[map[string]Impairment]
@@ -256,8 +258,13 @@
 // next poll is due after busyPollInterval.
 func (c *Coordinator) poll(ctx context.Context) bool {
 	engines := c.cluster.Engines()
-	responses := c.callAll(ctx, engines, func(e Engine) *api.RankRequest {
-		return &api.RankRequest{Counts: true, Experts: c.needsExperts(e)}
+	needsCounts := c.needsCounts(clock.Now())
+	responses := c.callAll(ctx, engines, func(e Engine, _ bool) *api.RankRequest {
+		req := &api.RankRequest{Counts: needsCounts, Experts: c.needsExperts(e)}
+		if needsCounts {
+			req.CountsBase = c.countsBase(e)
+		}
+		return req
 	})
 	members := make(map[string][]*member)
 	impairments := make(map[string]Impairment)
@@ -285,6 +292,26 @@
 	return busy
 }
 
+// needsCounts reports whether a poll at the given time must read how often experts were chosen. It
+// need not while a group that switches maps is polled in quick succession.
+func (c *Coordinator) needsCounts(now time.Duration) bool {
+	if now-c.countsReadAt < pollInterval {
+		return false
+	}
+	c.countsReadAt = now
+	return true
+}
+
+// countsBase returns the ID of the counts that this coordinator holds of an engine; zero for none.
+func (c *Coordinator) countsBase(e Engine) uint64 {
+	for _, g := range c.groups {
+		if counts, ok := g.lastCounts[e.ID]; ok {
+			return counts.id
+		}
+	}
+	return 0
+}
+
 // needsExperts reports whether the experts that an engine holds must be read, which happens once
 // for each map that it uses.
 func (c *Coordinator) needsExperts(e Engine) bool {
--- a/internal/experts/coordinator_test.go
+++ b/internal/experts/coordinator_test.go
@@ -69,6 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	executor := ranks.NewExecutor(platform.NewEngine(engine, http.DefaultClient))
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if g.silent[rank].Load() {
 			<-r.Context().Done()
@@ -82,7 +83,7 @@
 		if kind := req.GetOrder().GetKind(); kind == api.RankOrder_HOLD || kind == api.RankOrder_GO {
 			g.agentHoldOrders.Add(1)
 		}
-		answer, _ := proto.Marshal(ranks.Execute(r.Context(), platform.NewEngine(engine, http.DefaultClient), req))
+		answer, _ := proto.Marshal(executor.Execute(r.Context(), req))
 		_, _ = w.Write(answer)
 	})}
 	go func() { _ = server.Serve(l) }()
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -28,15 +28,19 @@
 	epoch   int64
 	planner *balance.LayerPlanner
 	shape   balance.Shape
-	// lastCounts holds the latest counts of each rank and startedAtUnixMs the rank's start time,
-	// both by engine ID. The counts of a rank that restarts begin at zero.
-	lastCounts      map[string][]int64
-	startedAtUnixMs map[string]int64
+	// lastCounts holds the latest counts of each rank by engine ID, passesSinceCounts the passes
+	// since counts were last read.
+	lastCounts        map[string]rankCounts
+	passesSinceCounts int64
 	// loaded holds the experts of each rank in the map in use, by engine ID.
 	loaded map[string]loadedExperts
 	// targetVersion is the version to switch to, zero for none, and targetMaps its map.
 	targetVersion int64
 	targetMaps    []balance.LayerMap
+	// targetOrder is the encoded target. needsWholeMap are the engines, by ID, whose rank agents do
+	// not hold the map that the target was planned from.
+	targetOrder   *ranks.MapOrder
+	needsWholeMap map[string]bool
 	// targetSetAt is when the target was set.
 	targetSetAt time.Duration
 	// passTime is the moving average of the duration of a pass, maxPause the longest pause between
@@ -49,6 +53,15 @@
 	closedSince time.Duration
 }
 
+// rankCounts are the counts of one rank.
+type rankCounts struct {
+	// id identifies the reply that the counts come from.
+	id     uint64
+	counts []int64
+	// startedAtUnixMs is the rank's start time. The counts of a rank that restarts begin at zero.
+	startedAtUnixMs int64
+}
+
 type loadedExperts struct {
 	epoch, version int64
 	sets           [][]int32
@@ -57,7 +70,7 @@
 func newGroup(c *Coordinator, name string) *group {
 	return &group{
 		c: c, name: name, machine: mapswitch.New(mapswitch.Config{}),
-		lastCounts: make(map[string][]int64), startedAtUnixMs: make(map[string]int64), loaded: make(map[string]loadedExperts),
+		lastCounts: make(map[string]rankCounts), loaded: make(map[string]loadedExperts),
 	}
 }
 
@@ -86,7 +99,7 @@
 	g.observe(members, passes)
 	current := g.currentMaps(members)
 	if g.targetVersion == 0 && current != nil {
-		g.planChange(current, now)
+		g.planChange(current, members[0].reply.GetState().GetMap(), now)
 	}
 	return g.advanceSwitch(ctx, members, status)
 }
@@ -107,7 +120,7 @@
 	shape := balance.Shape{LayerSets: cfg.LayerSets, Experts: cfg.Experts, Ranks: int(state.GetSize()), SlotsPerRank: cfg.SlotsPerRank, MaxNewExperts: cfg.MaxNewExperts}
 	if g.epoch != state.GetEpoch() {
 		g.epoch = state.GetEpoch()
-		g.targetVersion, g.targetMaps = 0, nil
+		g.clearTarget()
 		g.passTime, g.lastStepAt, g.lastStep = 0, 0, 0
 		clear(g.loaded)
 	}
@@ -162,29 +175,35 @@
 	return passes
 }
 
-// observe passes to the planner how often each expert was chosen since the last poll, summed over
-// all ranks, and the slowdowns of the ranks.
+// observe passes to the planner how often each expert was chosen since the counts were last read,
+// summed over all ranks, and the slowdowns of the ranks.
 func (g *group) observe(members []*member, passes int64) {
+	g.passesSinceCounts += passes
 	sums := make([][]float64, g.shape.LayerSets)
 	for i := range sums {
 		sums[i] = make([]float64, g.shape.Experts)
 	}
+	hasCounts := false
 	for _, m := range members {
-		id, counts := m.engine.ID, m.reply.GetCounts()
+		last := g.lastCounts[m.engine.ID]
+		counts := ranks.CountsFromWire(m.reply, last.counts)
 		if len(counts) != g.shape.LayerSets*g.shape.Experts {
 			continue
 		}
-		last := g.lastCounts[id]
-		g.lastCounts[id] = counts
-		if last == nil || g.startedAtUnixMs[id] != m.reply.GetState().GetBorn() {
-			g.startedAtUnixMs[id] = m.reply.GetState().GetBorn()
+		hasCounts = true
+		born := m.reply.GetState().GetBorn()
+		g.lastCounts[m.engine.ID] = rankCounts{id: m.reply.GetCountsId(), counts: counts, startedAtUnixMs: born}
+		if last.counts == nil || last.startedAtUnixMs != born {
 			continue
 		}
 		for i, n := range counts {
-			sums[i/g.shape.Experts][i%g.shape.Experts] += float64(max(n-last[i], 0))
+			sums[i/g.shape.Experts][i%g.shape.Experts] += float64(max(n-last.counts[i], 0))
 		}
 	}
-	g.planner.Observe(passes, sums)
+	if hasCounts {
+		g.planner.Observe(g.passesSinceCounts, sums)
+		g.passesSinceCounts = 0
+	}
 	slowdowns := make([]float64, len(members))
 	for rank, m := range members {
 		slowdowns[rank] = m.reply.GetState().GetPace()
@@ -227,14 +246,27 @@
 // minSwitchTime is the least time that a switch of maps takes in addition to its copies.
 const minSwitchTime = 150 * time.Millisecond
 
-// planChange sets a target if the planner finds a change of maps that is worth its cost.
-func (g *group) planChange(current []balance.LayerMap, now time.Duration) {
+// setTarget sets the version to switch to and its map. base is the version that all ranks use now,
+// current its map.
+func (g *group) setTarget(maps []balance.LayerMap, base int64, current []balance.LayerMap) {
+	g.targetVersion, g.targetMaps, g.targetSetAt = g.c.newVersion(), maps, clock.Now()
+	g.targetOrder = ranks.NewMapOrder(layersOf(maps), base, layersOf(current))
+	g.needsWholeMap = make(map[string]bool)
+}
+
+func (g *group) clearTarget() {
+	g.targetVersion, g.targetMaps, g.targetOrder = 0, nil, nil
+}
+
+// planChange sets a target if the planner finds a change of maps that is worth its cost. base is the
+// version in use.
+func (g *group) planChange(current []balance.LayerMap, base int64, now time.Duration) {
 	g.planner.SetSwitchTime(max(minSwitchTime, time.Duration(g.machine.LeadPasses())*g.passTime))
 	change := g.planner.Plan(current, g.isPassLong())
 	if change == nil {
 		return
 	}
-	g.targetVersion, g.targetMaps, g.targetSetAt = g.c.newVersion(), change.Maps, now
+	g.setTarget(change.Maps, base, current)
 	_ = level.Info(g.c.logger).Log("msg", "Experts are moved to follow their popularity.", "group", g.name, "epoch", g.epoch,
 		"version", g.targetVersion, "pass", g.passTime, "pressed", g.isPassLong(), "skew", change.SkewBefore, "skew_after", change.SkewAfter,
 		"loads", change.MaxCopies, "fence", g.c.fence.Load())
@@ -268,7 +300,7 @@
 func (g *group) finishSwitch() {
 	_ = level.Info(g.c.logger).Log("msg", "A new expert map is in use.", "group", g.name, "epoch", g.epoch,
 		"version", g.targetVersion, "took_ms", (clock.Now() - g.targetSetAt).Milliseconds())
-	g.targetVersion, g.targetMaps = 0, nil
+	g.clearTarget()
 	clear(g.loaded)
 }
 
@@ -279,7 +311,7 @@
 	if current == nil {
 		return
 	}
-	g.targetVersion, g.targetMaps, g.targetSetAt = g.c.newVersion(), current, clock.Now()
+	g.setTarget(current, members[0].reply.GetState().GetMap(), current)
 	_ = level.Info(g.c.logger).Log("msg", "The expert map is given a new version.", "group", g.name, "epoch", g.epoch,
 		"version", g.targetVersion, "fence", g.c.fence.Load())
 }
@@ -296,8 +328,7 @@
 		engines[rank] = m.engine
 		rankOf[m.engine.ID] = rank
 	}
-	layers := mapToWire(g.targetMaps)
-	responses := g.c.callAll(ctx, engines, func(e Engine) *api.RankRequest {
+	responses := g.c.callAll(ctx, engines, func(e Engine, direct bool) *api.RankRequest {
 		o, ok := byRank[rankOf[e.ID]]
 		if !ok {
 			return nil
@@ -305,12 +336,13 @@
 		if o.Kind == mapswitch.Claim {
 			o.Version = g.c.reservedVersion()
 		}
-		msg := ranks.OrderToWire(o, g.c.fence.Load(), nil)
+		msg := ranks.OrderToWire(o, g.c.fence.Load())
 		if o.Kind == mapswitch.Prepare {
-			msg = ranks.OrderToWire(o, g.c.fence.Load(), layers)
+			g.targetOrder.AddTo(msg, direct || g.needsWholeMap[e.ID])
 		}
 		return &api.RankRequest{Order: msg}
 	})
+	g.noteMissingMaps(members, byRank, responses)
 	g.logOrders(byRank, responses)
 	for rank, resp := range responses {
 		o, ok := byRank[rank]
@@ -327,12 +359,28 @@
 	}
 }
 
+// noteMissingMaps records the ranks that must be sent the target whole. Rank agents of an earlier
+// version know no changes, and the engine refuses the order without a map that they pass on.
+func (g *group) noteMissingMaps(members []*member, byRank map[int]mapswitch.Order, responses []response) {
+	for rank, o := range byRank {
+		reply := responses[rank].reply
+		if reply.GetNeedsMap() || o.Kind == mapswitch.Prepare && reply.GetResult() == api.OrderResult_ORDER_UNFIT {
+			g.needsWholeMap[members[rank].engine.ID] = true
+		}
+	}
+}
+
 // logOrders logs one line for all equal orders that ranks accepted, which are many, and one line
 // for each order that was not accepted.
 func (g *group) logOrders(byRank map[int]mapswitch.Order, responses []response) {
 	accepted := make(map[mapswitch.Order]int)
+	lackMap := 0
 	for rank, o := range byRank {
 		resp := responses[rank]
+		if resp.reply.GetNeedsMap() {
+			lackMap++
+			continue
+		}
 		if resp.reply.GetResult() == api.OrderResult_ORDER_TAKEN {
 			o.Rank = 0
 			accepted[o]++
@@ -342,6 +390,10 @@
 			"version", o.Version, "step", o.Step, "epoch", o.Epoch, "fence", g.c.fence.Load(), "outcome", resp.reply.GetResult(),
 			"direct", resp.direct, "err", resp.err, "result", result.Label(api.ResultCode_CONFLICT))
 	}
+	if lackMap > 0 {
+		_ = level.Info(g.c.logger).Log("msg", "Rank agents do not hold the map in use and are sent the new one whole.", "group", g.name,
+			"ranks", lackMap, "version", g.targetVersion, "epoch", g.epoch)
+	}
 	for o, n := range accepted {
 		_ = level.Info(g.c.logger).Log("msg", "Ranks accepted an order.", "group", g.name, "ranks", n, "kind", o.Kind,
 			"version", o.Version, "step", o.Step, "epoch", o.Epoch, "fence", g.c.fence.Load())
@@ -361,7 +413,7 @@
 	}
 }
 
-func mapToWire(maps []balance.LayerMap) [][][]int32 {
+func layersOf(maps []balance.LayerMap) [][][]int32 {
 	layers := make([][][]int32, len(maps))
 	for i, set := range maps {
 		layers[i] = set
--- a/internal/rankagent/rankagent.go
+++ b/internal/rankagent/rankagent.go
@@ -1,6 +1,7 @@
-// Package rankagent is the rank agent, a stateless process on the VM of a model engine. It forwards
-// orders of the entry that coordinates expert maps to the engine and returns the engine's state:
-// only on the engine's own VM is the state up to date and cheap to read.
+// Package rankagent is the rank agent, a process on the VM of a model engine. It forwards orders of
+// the entry that coordinates expert maps to the engine and returns the engine's state: only on the
+// engine's own VM is the state up to date and cheap to read. It keeps nothing that it cannot do
+// without.
 package rankagent
 
 import (
@@ -70,7 +71,7 @@
 }
 
 type agent struct {
-	engine  *platform.Engine
+	engine  *ranks.Executor
 	logger  log.Logger
 	metrics *counters
 
@@ -103,7 +104,7 @@
 }
 
 func newAgent(engine *platform.Engine, logger log.Logger) *agent {
-	return &agent{engine: engine, logger: logger, metrics: newCounters()}
+	return &agent{engine: ranks.NewExecutor(engine), logger: logger, metrics: newCounters()}
 }
 
 func (a *agent) handler() http.Handler {
@@ -130,7 +131,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), platform.EngineCallTimeout)
 	defer cancel()
 	startedAt := clock.Now()
-	reply := ranks.Execute(ctx, a.engine, req)
+	reply := a.engine.Execute(ctx, req)
 	a.recordReply(reply, clock.Now()-startedAt)
 	if o := req.GetOrder(); o != nil {
 		a.metrics.orders.Inc(1)
--- /dev/null
+++ b/internal/ranks/compact.go
@@ -0,0 +1,163 @@
+package ranks
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricothub/apricothub/api"
+)
+
+// Expert maps and counts of a large group are long, and most of each is known to the receiver: a
+// change of maps moves a few of thousands of replicas, and a count rises by a few from one poll to
+// the next. If they were sent whole, a coordinator with hundreds of ranks would be busy sending for
+// most of the time that the popularity of experts lasts.
+
+// layers is an expert map: the experts of each rank, by layer set.
+type layers = [][][]int32
+
+// sortedMap returns a map with the experts of each rank in ascending order, so that equal maps
+// compare as equal.
+func sortedMap(m layers) layers {
+	sorted := make(layers, len(m))
+	for i, set := range m {
+		sorted[i] = make([][]int32, len(set))
+		for rank, experts := range set {
+			sorted[i][rank] = slices.Sorted(slices.Values(experts))
+		}
+	}
+	return sorted
+}
+
+// mapHash returns a hash of an expert map.
+func mapHash(m layers) uint64 {
+	h := fnv.New64a()
+	var buf [4]byte
+	add := func(n int) {
+		binary.LittleEndian.PutUint32(buf[:], uint32(n))
+		_, _ = h.Write(buf[:])
+	}
+	for _, set := range m {
+		add(len(set))
+		for _, experts := range set {
+			add(len(experts))
+			for _, expert := range experts {
+				add(int(expert))
+			}
+		}
+	}
+	return h.Sum64()
+}
+
+// mapChanges returns how a map differs from base, as in api.RankOrder. It returns false if they
+// have different numbers of layer sets or ranks.
+func mapChanges(base, m layers) ([]uint32, bool) {
+	if len(base) != len(m) {
+		return nil, false
+	}
+	var changes []uint32
+	distance := uint32(0)
+	for i, set := range m {
+		if len(base[i]) != len(set) {
+			return nil, false
+		}
+		for rank, experts := range set {
+			if slices.Equal(base[i][rank], experts) {
+				distance++
+				continue
+			}
+			changes = append(changes, distance, uint32(len(experts)))
+			for _, expert := range experts {
+				changes = append(changes, uint32(expert))
+			}
+			distance = 1
+		}
+	}
+	return changes, true
+}
+
+var errBadChanges = errors.New("the changes do not fit the map that they apply to")
+
+// applyChanges returns the map that changes turn base into. base is not modified.
+func applyChanges(base layers, changes []uint32) (layers, error) {
+	m := make(layers, len(base))
+	for i, set := range base {
+		m[i] = slices.Clone(set)
+	}
+	set, rank := 0, 0
+	for len(changes) > 0 {
+		if len(changes) < 2 {
+			return nil, errBadChanges
+		}
+		distance, count := int(changes[0]), int(changes[1])
+		changes = changes[2:]
+		if count > len(changes) {
+			return nil, errBadChanges
+		}
+		for rank += distance; set < len(m) && rank >= len(m[set]); set++ {
+			rank -= len(m[set])
+		}
+		if set == len(m) {
+			return nil, errBadChanges
+		}
+		experts := make([]int32, count)
+		for i, expert := range changes[:count] {
+			experts[i] = int32(expert)
+		}
+		m[set][rank] = experts
+		changes = changes[count:]
+	}
+	return m, nil
+}
+
+// largeCountChange stands for a count's change that does not fit into four bits.
+const largeCountChange = 15
+
+// encodeCountChanges sets in a reply how much counts have risen since base. It returns false if one
+// has fallen, as after a restart of the engine.
+func encodeCountChanges(reply *api.RankReply, base, counts []int64) bool {
+	if len(base) != len(counts) {
+		return false
+	}
+	packed := make([]byte, (len(counts)+1)/2)
+	var large []uint64
+	for i, n := range counts {
+		change := n - base[i]
+		if change < 0 {
+			return false
+		}
+		if change >= largeCountChange {
+			large = append(large, uint64(change))
+			change = largeCountChange
+		}
+		packed[i/2] |= byte(change) << (4 * (i % 2))
+	}
+	reply.CountChanges, reply.LargeCountChanges = packed, large
+	return true
+}
+
+// CountsFromWire returns the counts in a reply, given those that the request named as the base. It
+// returns nil if the reply has none.
+func CountsFromWire(reply *api.RankReply, base []int64) []int64 {
+	packed, large := reply.GetCountChanges(), reply.GetLargeCountChanges()
+	if len(packed) == 0 {
+		return reply.GetCounts()
+	}
+	if len(packed) != (len(base)+1)/2 {
+		return nil
+	}
+	counts := make([]int64, len(base))
+	for i := range base {
+		change := int64(packed[i/2] >> (4 * (i % 2)) & 15)
+		if change == largeCountChange {
+			if len(large) == 0 {
+				return nil
+			}
+			change, large = int64(large[0]), large[1:]
+		}
+		counts[i] = base[i] + change
+	}
+	return counts
+}
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -145,33 +145,73 @@
 	platform.OrderFenced:  api.OrderResult_ORDER_FENCED,
 }
 
-// OrderToWire returns the message of an order. layers is the map of a version to prepare, by layer
-// set and rank; nil for other orders.
-func OrderToWire(o mapswitch.Order, fence int64, layers [][][]int32) *api.RankOrder {
-	w := &api.RankOrder{Kind: kindToWire[o.Kind], Version: o.Version, Step: o.Step, Epoch: o.Epoch, Fence: fence}
-	for _, set := range layers {
+// OrderToWire returns the message of an order, without the map of a version to prepare.
+func OrderToWire(o mapswitch.Order, fence int64) *api.RankOrder {
+	return &api.RankOrder{Kind: kindToWire[o.Kind], Version: o.Version, Step: o.Step, Epoch: o.Epoch, Fence: fence}
+}
+
+// MapOrder is the map of a version to prepare, encoded once for the orders to all ranks.
+type MapOrder struct {
+	whole    []*api.LayerSet
+	base     int64
+	changes  []uint32
+	hash     uint64
+	isPacked bool
+}
+
+// NewMapOrder encodes a map, by layer set and rank, and how it differs from the map of version
+// base. A base of zero stands for none.
+func NewMapOrder(m [][][]int32, base int64, baseMap [][][]int32) *MapOrder {
+	o := &MapOrder{whole: mapToWire(m)}
+	if base == 0 {
+		return o
+	}
+	m = sortedMap(m)
+	if o.changes, o.isPacked = mapChanges(sortedMap(baseMap), m); o.isPacked {
+		o.base, o.hash = base, mapHash(m)
+	}
+	return o
+}
+
+// AddTo adds the map to an order: its changes, or the whole map if whole is set or it has no base.
+func (m *MapOrder) AddTo(w *api.RankOrder, whole bool) {
+	if whole || !m.isPacked {
+		w.Map = m.whole
+		return
+	}
+	w.Base, w.Changes, w.MapHash = m.base, m.changes, m.hash
+}
+
+func mapToWire(m layers) []*api.LayerSet {
+	wire := make([]*api.LayerSet, 0, len(m))
+	for _, set := range m {
 		layer := &api.LayerSet{}
 		for _, experts := range set {
 			layer.Ranks = append(layer.Ranks, &api.RankExperts{Experts: experts})
 		}
-		w.Map = append(w.Map, layer)
+		wire = append(wire, layer)
 	}
-	return w
+	return wire
 }
 
-func orderFromWire(w *api.RankOrder) platform.EngineOrder {
-	o := platform.EngineOrder{
-		Order: mapswitch.Order{Kind: kindFromWire[w.GetKind()], Version: w.GetVersion(), Step: w.GetStep(), Epoch: w.GetEpoch()},
-		Fence: w.GetFence(),
-	}
-	for _, layer := range w.GetMap() {
+func mapFromWire(wire []*api.LayerSet) layers {
+	var m layers
+	for _, layer := range wire {
 		var set [][]int32
 		for _, rank := range layer.GetRanks() {
 			set = append(set, append([]int32{}, rank.GetExperts()...))
 		}
-		o.Map = append(o.Map, set)
+		m = append(m, set)
+	}
+	return m
+}
+
+func orderFromWire(w *api.RankOrder) platform.EngineOrder {
+	return platform.EngineOrder{
+		Order: mapswitch.Order{Kind: kindFromWire[w.GetKind()], Version: w.GetVersion(), Step: w.GetStep(), Epoch: w.GetEpoch()},
+		Fence: w.GetFence(),
+		Map:   mapFromWire(w.GetMap()),
 	}
-	return o
 }
 
 func stateToWire(r *platform.EngineReport) *api.RankState {
