--- a/internal/ranks/compact.go
+++ b/internal/ranks/compact.go
@@ -18,6 +18,40 @@
 // layers is an expert map: the experts of each rank, by layer set.
 type layers = [][][]int32
 
+// maxDealtExperts limits the experts in a dealt map, far above the size of any model.
+const maxDealtExperts = 1 << 20
+
+// dealtMap returns the map in which each expert is on one rank, dealt in turn. It returns false for
+// a shape that no group has.
+func dealtMap(shape *api.DealtMap) (layers, bool) {
+	sets, size, experts := int(shape.GetLayerSets()), int(shape.GetRanks()), int(shape.GetExperts())
+	if sets < 1 || size < 1 || experts < 1 || max(sets, size, experts) > maxDealtExperts || sets*max(size, experts) > maxDealtExperts {
+		return nil, false
+	}
+	m := make(layers, sets)
+	for i := range m {
+		m[i] = make([][]int32, size)
+		for expert := range experts {
+			m[i][expert%size] = append(m[i][expert%size], int32(expert))
+		}
+	}
+	return m, true
+}
+
+// shapeOf returns the shape of a map, with as many experts as its highest one tells.
+func shapeOf(m layers) *api.DealtMap {
+	shape := &api.DealtMap{LayerSets: uint32(len(m))}
+	for _, set := range m {
+		shape.Ranks = max(shape.Ranks, uint32(len(set)))
+		for _, experts := range set {
+			for _, expert := range experts {
+				shape.Experts = max(shape.Experts, uint32(expert)+1)
+			}
+		}
+	}
+	return shape
+}
+
 // sortedMap returns a map with the experts of each rank in ascending order, so that equal maps
 // compare as equal.
 func sortedMap(m layers) layers {
--- a/internal/ranks/executor.go
+++ b/internal/ranks/executor.go
@@ -78,20 +78,32 @@
 		x.keep(knownMap{o.GetVersion(), m})
 		return m, true
 	}
-	base := slices.IndexFunc(x.maps, func(k knownMap) bool { return k.version == o.GetBase() })
-	if base < 0 {
+	base, ok := x.baseOf(o)
+	if !ok {
 		return nil, false
 	}
-	baseMap := x.maps[base]
-	m, err := applyChanges(baseMap.layers, o.GetChanges())
+	m, err := applyChanges(base, o.GetChanges())
 	if err != nil || mapHash(m) != o.GetMapHash() {
 		return nil, false
 	}
-	x.keep(baseMap)
 	x.keep(knownMap{o.GetVersion(), m})
 	return m, true
 }
 
+// baseOf returns the map that the changes of an order apply to. The caller holds the lock.
+func (x *Executor) baseOf(o *api.RankOrder) (layers, bool) {
+	if o.GetDealt() != nil {
+		return dealtMap(o.GetDealt())
+	}
+	i := slices.IndexFunc(x.maps, func(k knownMap) bool { return k.version == o.GetBase() })
+	if i < 0 {
+		return nil, false
+	}
+	base := x.maps[i]
+	x.keep(base)
+	return base.layers, true
+}
+
 // keep makes a map the most recently used one. The caller holds the lock.
 func (x *Executor) keep(m knownMap) {
 	x.maps = slices.DeleteFunc(x.maps, func(k knownMap) bool { return k.version == m.version })
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -152,34 +152,40 @@
 
 // MapOrder is the map of a version to prepare, encoded once for the orders to all ranks.
 type MapOrder struct {
-	whole    []*api.LayerSet
-	base     int64
-	changes  []uint32
-	hash     uint64
-	isPacked bool
+	whole []*api.LayerSet
+	// compact holds the fields of an order that tells changes; nil if there is none.
+	compact *api.RankOrder
 }
 
 // NewMapOrder encodes a map, by layer set and rank, and how it differs from the map of version
-// base. A base of zero stands for none.
+// base. If base is zero, baseMap is the map that the group began with.
 func NewMapOrder(m [][][]int32, base int64, baseMap [][][]int32) *MapOrder {
 	o := &MapOrder{whole: mapToWire(m)}
+	compact := &api.RankOrder{Base: base}
 	if base == 0 {
-		return o
+		compact.Dealt = shapeOf(baseMap)
+		dealt, ok := dealtMap(compact.Dealt)
+		if !ok {
+			return o
+		}
+		baseMap = dealt
 	}
 	m = sortedMap(m)
-	if o.changes, o.isPacked = mapChanges(sortedMap(baseMap), m); o.isPacked {
-		o.base, o.hash = base, mapHash(m)
+	changes, ok := mapChanges(sortedMap(baseMap), m)
+	if ok {
+		compact.Changes, compact.MapHash = changes, mapHash(m)
+		o.compact = compact
 	}
 	return o
 }
 
-// AddTo adds the map to an order: its changes, or the whole map if whole is set or it has no base.
+// AddTo adds the map to an order: its changes, or the whole map if whole is set.
 func (m *MapOrder) AddTo(w *api.RankOrder, whole bool) {
-	if whole || !m.isPacked {
+	if whole || m.compact == nil {
 		w.Map = m.whole
 		return
 	}
-	w.Base, w.Changes, w.MapHash = m.base, m.changes, m.hash
+	w.Base, w.Dealt, w.Changes, w.MapHash = m.compact.Base, m.compact.Dealt, m.compact.Changes, m.compact.MapHash
 }
 
 func mapToWire(m layers) []*api.LayerSet {
