--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -195,6 +195,13 @@
 	}
 }
 
+// ExpectWorkTime sets the work time of an offer's requests that is assumed until the first one has
+// ended, instead of Config.DefaultWorkTime; zero for none. With an assumed time beyond the deadline
+// of a short call, an entry that gets few of them would refuse every one that has to wait.
+func (a *Admitter) ExpectWorkTime(key string, work time.Duration) {
+	a.offer(key).expectedWorkTime = work
+}
+
 func (a *Admitter) offer(key string) *offer {
 	o, ok := a.offers[key]
 	if !ok {
--- a/decide/admit/offer.go
+++ b/decide/admit/offer.go
@@ -33,8 +33,8 @@
 	freedCustomers []*customer
 	overload       overloadDetector
 	// avgWorkTime is a moving average of the time for which a request holds its slot, including its
-	// wait at the agent.
-	avgWorkTime time.Duration
+	// wait at the agent. expectedWorkTime is used until it is known; zero for the default.
+	avgWorkTime, expectedWorkTime time.Duration
 }
 
 // plan is the state of one plan at one offer.
@@ -233,10 +233,13 @@
 }
 
 func (o *offer) workTimeOr(fallback time.Duration) time.Duration {
-	if o.avgWorkTime == 0 {
-		return fallback
+	switch {
+	case o.avgWorkTime > 0:
+		return o.avgWorkTime
+	case o.expectedWorkTime > 0:
+		return o.expectedWorkTime
 	}
-	return o.avgWorkTime
+	return fallback
 }
 
 func (o *offer) start(now time.Duration, r *request, guaranteed bool) Decision {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -71,6 +71,8 @@
 	teamsVersion int64
 	// engines are the services whose servers are engines.
 	engines map[string]bool
+	// callTimes are the expected times of a call to each service; zero for streams.
+	callTimes map[string]time.Duration
 	// refusing are the services for which this entry has observed that no server accepts work.
 	refusing map[string]bool
 	// registered is the concurrency of all servers of a service that neither drain nor are in a
@@ -149,6 +151,7 @@
 	f.maybeLive = max(counts.maybeLive, f.entries)
 	f.setTeams(cfg)
 	f.registered = make(map[string]int)
+	f.callTimes = make(map[string]time.Duration)
 	f.engines = make(map[string]bool)
 	for service := range f.slotStates {
 		if cfg.Service(service) == nil {
@@ -173,6 +176,7 @@
 		s.Server = r.Server
 		s.service = service
 		f.engines[r.Service] = service.Engine != nil
+		f.callTimes[r.Service] = cfg.CallTime(r.Service)
 		f.limitArrivals(s, now)
 		f.servers[r.ID] = s
 		weight := 1.0
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -15,9 +15,11 @@
 	// maxQueued limits the requests that are queued at one entry for one service.
 	maxQueued = 512
 	// maxQueueWait is the longest expected wait with which a request is queued, and the longest
-	// time that one stays queued. Callers of a stream leave after two seconds without an event, and
-	// the first event takes some hundred milliseconds.
+	// time that one stays queued if its caller's patience is unknown.
 	maxQueueWait = 1300 * time.Millisecond
+	// maxPatienceRatio limits the time that a request of a stream stays queued to this fraction of
+	// its caller's patience, since the first event takes some hundred milliseconds.
+	maxPatienceRatio = 0.65
 	// maxQueueWaitRatio limits the wait to this fraction of the time left until the deadline. A
 	// request that starts later misses its deadline.
 	maxQueueWaitRatio = 0.4
@@ -73,6 +75,7 @@
 		}
 		f.admitter.SetAvailability(key, availability)
 		f.admitter.ExpectSlots(key, concurrency/f.entries)
+		f.admitter.ExpectWorkTime(key, f.callTimes[service])
 		f.admitter.SetTotalCapacity(key, capacity, f.entries)
 		f.admitter.SetCapacity(key, admit.EntrySlots(f.running[service], free, capacity, f.entries))
 		f.slotStates[service] = slotState{free: free, capacity: capacity, registered: concurrency, countedAt: now}
@@ -106,6 +109,10 @@
 		f.resolve(id, admission{server: s})
 		return
 	}
+	if code == api.ResultCode_COLD {
+		// Waits must be computed from the slots that there will be, not from none.
+		f.admitter.MarkPending(offer(q.request.service))
+	}
 	if !f.admitter.Requeue(now, id) {
 		f.resolve(id, admission{err: result.New(code)})
 	}
@@ -164,6 +171,9 @@
 // keep a team with many times the requests of the others from delaying the small ones.
 func (f *fleet) admitRequest(ctx context.Context, t *task, now time.Duration) (admissionID, placement, *result.Error) {
 	f.mu.Lock()
+	// The entry's part of the slots was set up to a tick ago. Where many entries share few slots, or a
+	// request has since found no server, requests would be refused although slots are free.
+	f.updateCapacity(now)
 	f.lastID++
 	id := f.lastID
 	deadline := t.deadline
@@ -184,7 +194,16 @@
 		f.placeQueued(id, q, now)
 	}
 	f.mu.Unlock()
-	return f.awaitAdmission(ctx, id, q, min(maxQueueWait, time.Duration(maxQueueWaitRatio*float64(deadline-now))))
+	return f.awaitAdmission(ctx, id, q, queueWait(t.route, deadline-now))
+}
+
+// queueWait returns how long a request of a route may be queued, given the time until its deadline.
+func queueWait(route *routing.Route, left time.Duration) time.Duration {
+	longest := maxQueueWait
+	if route.Patience > 0 {
+		longest = time.Duration(maxPatienceRatio * float64(route.Patience))
+	}
+	return min(longest, time.Duration(maxQueueWaitRatio*float64(left)))
 }
 
 // awaitAdmission waits until a request is admitted or refused, for maxWait at most.
--- /dev/null
+++ b/internal/gateway/waiting_test.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/internal/routing"
+)
+
+// newSharedFleet returns the fleet of one of 99 entries that share n servers with six slots each, for
+// calls of one of 40 teams.
+func newSharedFleet(n int, coldRate float64) *fleet {
+	cfg := &routing.Config{
+		Version:  2,
+		Services: []routing.Service{{Name: "app", ColdRate: coldRate}},
+		Routes:   []routing.Route{{Kind: routing.Idempotent, Objective: 120 * msec, Targets: []routing.Target{{Service: "app", Weight: 1}}}},
+	}
+	for i := range 40 {
+		cfg.Teams = append(cfg.Teams, routing.Team{Name: fmt.Sprint("team-", i), Keys: []string{fmt.Sprint("key-", i)}})
+	}
+	f := newTestFleet(0, 0, 1, 0)
+	f.setServers(registrations(n, 6), nil, routing.NewTable(cfg), entryCounts{manyEntries + 1, manyEntries + 1}, 0)
+	return f
+}
+
+// Pattern: capacity below one slot an entry. 99 entries share a service of five servers with six
+// slots each; a few of its calls arrive at one entry within a tick. None may be refused while nearly
+// all slots are free.
+func TestFewSlotsForManyEntries(t *testing.T) {
+	t.Parallel()
+	f := newSharedFleet(5, 0)
+	for i := range 3 {
+		task := &task{route: &routing.Route{Kind: routing.Idempotent}, service: "app", team: "team-1", deadline: 600 * msec}
+		if _, _, err := f.admitRequest(context.Background(), task, 0); err != nil {
+			t.Errorf("call %d of 3 was refused: %v", i+1, err.Code)
+		}
+	}
+}
+
+// All servers come back cold after a loss of power, and this entry has used its part of what they
+// bear. Requests that arrive meanwhile must wait for its next part: their deadline is seconds away.
+func TestRequestsWaitForColdServers(t *testing.T) {
+	t.Parallel()
+	f := newSharedFleet(129, 0.1)
+	ctx, cancel := context.WithTimeout(context.Background(), 200*msec)
+	defer cancel()
+	var requests sync.WaitGroup
+	for i := range 12 {
+		requests.Go(func() {
+			task := &task{route: &routing.Route{Kind: routing.Stream}, service: "app", team: "team-1", deadline: 8 * time.Second}
+			if _, _, err := f.admitRequest(ctx, task, 0); err != nil && err.Code == api.ResultCode_DEADLINE_UNREACHABLE {
+				t.Errorf("request %d of 12 was refused as too late, with 8 s left", i+1)
+			}
+		})
+		time.Sleep(2 * msec)
+	}
+	requests.Wait()
+}
+
+// Callers of a stream wait longer where its first event takes longer, as while a group of engines
+// forms again, and a request may wait as long, but no longer.
+func TestQueueWaitFollowsThePatienceOfCallers(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		patience, left, want time.Duration
+	}{
+		{0, 8 * time.Second, maxQueueWait},
+		{2 * time.Second, 8 * time.Second, 1300 * msec},
+		{2400 * msec, 8 * time.Second, 1560 * msec},
+		{2400 * msec, time.Second, 400 * msec},
+	} {
+		if got := queueWait(&routing.Route{Patience: c.patience}, c.left); got != c.want {
+			t.Errorf("patience %v, %v left: %v, want %v", c.patience, c.left, got, c.want)
+		}
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -58,6 +58,9 @@
 	Objective time.Duration
 	// MaxPause is the longest time between two events of a stream for the stream to be on time.
 	MaxPause time.Duration
+	// Patience is how long callers of a stream wait for its next event before they hang up; zero if
+	// unknown.
+	Patience time.Duration
 	// Priority is the priority of the requests; 0 is the highest.
 	Priority int
 	// Attempts is the number of backend servers to which one request may be sent.
@@ -164,6 +167,7 @@
 	services  map[string]*Service
 	keys      map[string]*Team
 	maxPauses map[string]time.Duration
+	callTimes map[string]time.Duration
 	teamCount int
 }
 
@@ -176,6 +180,7 @@
 		services:  make(map[string]*Service, len(cfg.Services)),
 		keys:      make(map[string]*Team),
 		maxPauses: make(map[string]time.Duration),
+		callTimes: make(map[string]time.Duration),
 		teamCount: len(cfg.Teams),
 	}
 	for i := range cfg.Routes {
@@ -186,6 +191,9 @@
 			if known := t.maxPauses[target.Service]; r.MaxPause > 0 && (known == 0 || r.MaxPause < known) {
 				t.maxPauses[target.Service] = r.MaxPause
 			}
+			if known := t.callTimes[target.Service]; r.Kind != Stream && r.Objective > 0 && (known == 0 || r.Objective < known) {
+				t.callTimes[target.Service] = r.Objective
+			}
 		}
 	}
 	for _, routes := range t.hosts {
@@ -223,6 +231,10 @@
 // accept: the smallest MaxPause of the routes to the service, or zero if none has one.
 func (t *Table) MaxPause(service string) time.Duration { return t.maxPauses[service] }
 
+// CallTime returns the time in which a service is expected to complete a call: the smallest
+// Objective of the routes to it whose answers are no streams, or zero if none has one.
+func (t *Table) CallTime(service string) time.Duration { return t.callTimes[service] }
+
 // Services returns all services by name.
 func (t *Table) Services() map[string]*Service { return t.services }
 
