--- a/internal/ranks/executor.go
+++ b/internal/ranks/executor.go
@@ -40,7 +40,7 @@
 // with a reply that may tell only the changes of the counts.
 func (x *Executor) Execute(ctx context.Context, req *api.RankRequest) *api.RankReply {
 	needsMap := false
-	if o := req.GetOrder(); o.GetKind() == api.RankOrder_PREPARE {
+	if o := req.GetOrder(); o != nil && o.GetKind() == api.RankOrder_PREPARE {
 		m, ok := x.mapOf(o)
 		if ok {
 			req = withMap(req, m)
--- a/internal/ranks/executor_test.go
+++ b/internal/ranks/executor_test.go
@@ -58,6 +58,9 @@
 	if reply := x.Execute(t.Context(), prepareOrder(2, second, 1, first, false)); !reply.GetNeedsMap() || len(engine.maps) != 0 {
 		t.Fatalf("got %v, and the engine %v", reply, engine.maps)
 	}
+	if reply := x.Execute(t.Context(), &api.RankRequest{}); reply.GetNeedsMap() {
+		t.Error("a request without an order is said to need a map")
+	}
 	x.Execute(t.Context(), prepareOrder(1, first, 0, nil, true))
 	if reply := x.Execute(t.Context(), prepareOrder(2, second, 1, first, false)); reply.GetNeedsMap() || !reflect.DeepEqual(engine.maps[2], second) {
 		t.Errorf("got %v, and the engine %v", reply, engine.maps)
