--- a/coord/peering/loads.go
+++ b/coord/peering/loads.go
@@ -1,6 +1,32 @@
 package peering
 
-import "github.com/apricothub/apricothub/api"
+import (
+	"hash/fnv"
+	"slices"
+
+	"github.com/apricothub/apricothub/api"
+)
+
+// ServerHash returns the hash of a backend server's ID by which heartbeats name it. Two servers with
+// the same hash would share their counts; among thousands that is unlikely, and only makes both look
+// busier than they are.
+func ServerHash(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum32()
+}
+
+// InFlight returns the requests in flight that a heartbeat tells: the hash of a backend server for
+// each of them.
+func InFlight(heartbeat *api.PeerBeat) []uint32 {
+	inFlight := heartbeat.GetInFlight()
+	for _, load := range heartbeat.GetLoads() {
+		for range load.GetInFlight() {
+			inFlight = append(inFlight, ServerHash(load.GetId()))
+		}
+	}
+	return inFlight
+}
 
 // LoadSums sums the requests in flight at each backend server over the other entries.
 //
@@ -8,51 +34,51 @@
 // of all entries for each heartbeat would grow with the square of their number, so the sums are
 // kept and only the differences are applied. LoadSums is not safe for concurrent use.
 type LoadSums struct {
-	byEntry map[string][]*api.ServerLoad
-	sums    map[string]int
+	byEntry map[string][]uint32
+	sums    map[uint32]int
 }
 
 // NewLoadSums returns sums over no entries.
 func NewLoadSums() *LoadSums {
-	return &LoadSums{byEntry: make(map[string][]*api.ServerLoad), sums: make(map[string]int)}
+	return &LoadSums{byEntry: make(map[string][]uint32), sums: make(map[uint32]int)}
 }
 
-// Set replaces the counts of the entry at ip, and returns the backend servers whose sums have
-// changed.
-func (l *LoadSums) Set(ip string, loads []*api.ServerLoad) []string {
-	differences := make(map[string]int, len(loads))
-	for _, load := range loads {
-		differences[load.GetId()] += int(load.GetInFlight())
+// Set replaces the requests in flight of the entry at ip, and returns the backend servers whose sums
+// have changed. Each request is given by the hash of its server.
+func (l *LoadSums) Set(ip string, inFlight []uint32) []uint32 {
+	differences := make(map[uint32]int, len(inFlight))
+	for _, server := range inFlight {
+		differences[server]++
 	}
-	for _, load := range l.byEntry[ip] {
-		differences[load.GetId()] -= int(load.GetInFlight())
+	for _, server := range l.byEntry[ip] {
+		differences[server]--
 	}
-	var changed []string
-	for id, difference := range differences {
+	var changed []uint32
+	for server, difference := range differences {
 		if difference == 0 {
 			continue
 		}
-		changed = append(changed, id)
-		if l.sums[id] += difference; l.sums[id] == 0 {
-			delete(l.sums, id)
+		changed = append(changed, server)
+		if l.sums[server] += difference; l.sums[server] == 0 {
+			delete(l.sums, server)
 		}
 	}
-	if len(loads) == 0 {
+	if len(inFlight) == 0 {
 		delete(l.byEntry, ip)
 	} else {
-		l.byEntry[ip] = loads
+		l.byEntry[ip] = slices.Clone(inFlight)
 	}
 	return changed
 }
 
 // Retain drops the counts of the entries that are not live, and returns the backend servers whose
 // sums have changed.
-func (l *LoadSums) Retain(live []*api.PeerBeat) []string {
+func (l *LoadSums) Retain(live []*api.PeerBeat) []uint32 {
 	isLive := make(map[string]bool, len(live))
 	for _, b := range live {
 		isLive[b.GetIp()] = true
 	}
-	var changed []string
+	var changed []uint32
 	for ip := range l.byEntry {
 		if !isLive[ip] {
 			changed = append(changed, l.Set(ip, nil)...)
@@ -62,4 +88,4 @@
 }
 
 // At returns the requests in flight of the other entries at a backend server.
-func (l *LoadSums) At(id string) int { return l.sums[id] }
+func (l *LoadSums) At(server uint32) int { return l.sums[server] }
--- a/coord/peering/loads_test.go
+++ b/coord/peering/loads_test.go
@@ -8,12 +8,15 @@
 	"github.com/apricothub/apricothub/api"
 )
 
-func loadsOf(counts map[string]int) []*api.ServerLoad {
-	var loads []*api.ServerLoad
+// inFlightOf returns the requests in flight with the given counts by server.
+func inFlightOf(counts map[string]int) []uint32 {
+	var inFlight []uint32
 	for id, n := range counts {
-		loads = append(loads, &api.ServerLoad{Id: id, InFlight: uint32(n)})
+		for range n {
+			inFlight = append(inFlight, ServerHash(id))
+		}
 	}
-	return loads
+	return inFlight
 }
 
 // Counts are updated by difference, for as many heartbeats as there are. A difference that is
@@ -28,7 +31,7 @@
 		for range rng.IntN(4) {
 			counts[ip][fmt.Sprint("i-", rng.IntN(20))] = rng.IntN(3)
 		}
-		sums.Set(ip, loadsOf(counts[ip]))
+		sums.Set(ip, inFlightOf(counts[ip]))
 		if step%100 == 0 {
 			var live []*api.PeerBeat
 			for ip := range counts {
@@ -45,7 +48,7 @@
 			for _, c := range counts {
 				want += c[id]
 			}
-			if got := sums.At(id); got != want {
+			if got := sums.At(ServerHash(id)); got != want {
 				t.Fatalf("step %d: %d requests in flight at %s, want %d", step, got, id, want)
 			}
 		}
@@ -56,13 +59,24 @@
 // silent, and the servers that become free are named.
 func TestCountsOfASilentEntryAreDropped(t *testing.T) {
 	sums := NewLoadSums()
-	sums.Set("10.0.0.2", loadsOf(map[string]int{"i-1": 3}))
-	sums.Set("10.0.0.3", loadsOf(map[string]int{"i-1": 1}))
+	sums.Set("10.0.0.2", inFlightOf(map[string]int{"i-1": 3}))
+	sums.Set("10.0.0.3", inFlightOf(map[string]int{"i-1": 1}))
 	changed := sums.Retain([]*api.PeerBeat{{Ip: "10.0.0.3"}})
-	if len(changed) != 1 || changed[0] != "i-1" || sums.At("i-1") != 1 {
-		t.Errorf("changed %v, %d in flight, want 1 of the live entry", changed, sums.At("i-1"))
+	if len(changed) != 1 || changed[0] != ServerHash("i-1") || sums.At(ServerHash("i-1")) != 1 {
+		t.Errorf("changed %v, %d in flight, want 1 of the live entry", changed, sums.At(ServerHash("i-1")))
 	}
-	if changed := sums.Set("10.0.0.3", loadsOf(map[string]int{"i-1": 1})); len(changed) != 0 {
+	if changed := sums.Set("10.0.0.3", inFlightOf(map[string]int{"i-1": 1})); len(changed) != 0 {
 		t.Errorf("equal counts changed %v", changed)
 	}
 }
+
+// An entry of an earlier version sends its requests in flight by the IDs of servers. While versions
+// are mixed, they must count as well.
+func TestLoadsOfEarlierVersionsCount(t *testing.T) {
+	sums := NewLoadSums()
+	sums.Set("10.0.0.2", InFlight(&api.PeerBeat{Loads: []*api.ServerLoad{{Id: "i-1", InFlight: 2}}}))
+	sums.Set("10.0.0.3", InFlight(&api.PeerBeat{InFlight: []uint32{ServerHash("i-1")}}))
+	if n := sums.At(ServerHash("i-1")); n != 3 {
+		t.Errorf("%d requests in flight, want 3", n)
+	}
+}
--- a/coord/peering/peering.go
+++ b/coord/peering/peering.go
@@ -7,6 +7,8 @@
 package peering
 
 import (
+	"encoding/binary"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -139,9 +141,30 @@
 	for _, other := range heartbeat.GetOthers() {
 		t.AddPeer(other, now)
 	}
+	for _, other := range heartbeat.GetOtherIps() {
+		t.AddPeer(unpackIP(other), now)
+	}
 	return true
 }
 
+// PackIPs returns IPv4 addresses as numbers, as heartbeats tell them. Other texts are left out.
+func PackIPs(ips []string) []uint32 {
+	packed := make([]uint32, 0, len(ips))
+	for _, ip := range ips {
+		if addr, err := netip.ParseAddr(ip); err == nil && addr.Is4() {
+			b := addr.As4()
+			packed = append(packed, binary.BigEndian.Uint32(b[:]))
+		}
+	}
+	return packed
+}
+
+func unpackIP(packed uint32) string {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], packed)
+	return netip.AddrFrom4(b).String()
+}
+
 func (t *Table) isLive(p *peer, now time.Duration) bool { return p.heardWithin(t.cfg.SilentAfter, now) }
 
 func (p *peer) heardWithin(maxAge, now time.Duration) bool {
--- a/coord/peering/peering_test.go
+++ b/coord/peering/peering_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,8 +52,9 @@
 	table := New("10.0.0.1", Config{})
 	b := heartbeat("10.0.0.2", 1, 1)
 	b.Others = []string{"10.0.0.1", "10.0.0.3"}
+	b.OtherIps = PackIPs([]string{"10.0.0.1", "10.0.0.4", "not an IP"})
 	table.HandleHeartbeat(b, 0)
-	if due := table.TakeDue(0, false); len(due) != 2 {
+	if due := table.TakeDue(0, false); !slices.Equal(due, []string{"10.0.0.2", "10.0.0.3", "10.0.0.4"}) {
 		t.Errorf("heartbeats are due to %v", due)
 	}
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -142,7 +142,7 @@
 	if !c.peers.HandleHeartbeat(b, now) {
 		return false
 	}
-	c.g.fleet.setOthersInFlight(c.peerLoads.Set(b.GetIp(), b.GetLoads()), c.peerLoads, now)
+	c.g.fleet.setOthersInFlight(c.peerLoads.Set(b.GetIp(), peering.InFlight(b)), c.peerLoads, now)
 	return peering.IsUrgent(old, b) || c.isAhead(b) && c.mayRequestPeerState(now)
 }
 
@@ -363,14 +363,12 @@
 		OperatorsNext: c.operators.NextOffset(), ServersNext: c.servers.NextOffset(), Fence: c.g.experts.Fence(),
 		OperatorsAgeMs: -1, ServersAgeMs: -1,
 		OperatorsChanged: c.operatorsChangedAt, ServersChanged: c.serversChangedAt,
+		InFlight: c.g.fleet.inFlight(),
 	}
 	if c.g.readsStore.Load() {
 		b.OperatorsAgeMs = (now - c.operatorsAt).Milliseconds()
 		b.ServersAgeMs = (now - c.serversAt).Milliseconds()
 	}
-	for _, l := range c.g.fleet.loads() {
-		b.Loads = append(b.Loads, &api.ServerLoad{Id: l.id, InFlight: uint32(l.inFlight)})
-	}
 	for id, pace := range c.g.experts.Impairments() {
 		b.Paces = append(b.Paces, &api.ServerPace{Id: id, Pace: float32(pace.Slowdown), Closed: pace.Closed})
 	}
@@ -379,6 +377,6 @@
 	for i := range min(len(live), maxOthers) {
 		others[live[(int(c.sequence)*maxOthers+i)%len(live)].GetIp()] = true
 	}
-	b.Others = slices.Sorted(maps.Keys(others))
+	b.OtherIps = peering.PackIPs(slices.Sorted(maps.Keys(others)))
 	c.g.sendHeartbeat(b, due)
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -55,7 +55,9 @@
 	ejector         *eject.Tracker
 	silenceDetector *silence.Detector
 	servers         map[string]*server
-	budgets         map[string]*place.RetryBudget
+	// byHash are the servers by the hash of their IDs.
+	byHash  map[uint32]*server
+	budgets map[string]*place.RetryBudget
 	// entries is the number of live entries, maybeLive that of entries that may still be running.
 	// Both include this one.
 	entries, maybeLive int
@@ -93,6 +95,8 @@
 type server struct {
 	registry.Server
 	service *routing.Service
+	// hash is the hash of its ID.
+	hash uint32
 	// isLeaving means that it gets no new work, since it drains or its failure domain is out.
 	isLeaving bool
 	// ownInFlight counts this process's requests in flight at the server, othersInFlight those of
@@ -160,6 +164,7 @@
 	}
 	old := f.servers
 	f.servers = make(map[string]*server, len(registrations))
+	f.byHash = make(map[uint32]*server, len(registrations))
 	placed := make([]place.Server, 0, len(registrations))
 	for _, r := range registrations {
 		service := cfg.Service(r.Service)
@@ -168,7 +173,7 @@
 		}
 		s := old[r.ID]
 		if s == nil {
-			s = &server{}
+			s = &server{hash: peering.ServerHash(r.ID)}
 		}
 		if s.StartedAtUnixMs != r.StartedAtUnixMs {
 			s.workTime = 0
@@ -179,6 +184,7 @@
 		f.callTimes[r.Service] = cfg.CallTime(r.Service)
 		f.limitArrivals(s, now)
 		f.servers[r.ID] = s
+		f.byHash[s.hash] = s
 		weight := 1.0
 		s.isLeaving = r.Draining || domainsOut[r.FailureDomain]
 		if s.isLeaving {
@@ -215,15 +221,15 @@
 }
 
 // setOthersInFlight updates the other entries' requests in flight at some of the servers.
-func (f *fleet) setOthersInFlight(ids []string, others *peering.LoadSums, now time.Duration) {
-	if len(ids) == 0 {
+func (f *fleet) setOthersInFlight(hashes []uint32, others *peering.LoadSums, now time.Duration) {
+	if len(hashes) == 0 {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, id := range ids {
-		if s := f.servers[id]; s != nil {
-			s.othersInFlight = others.At(id)
+	for _, hash := range hashes {
+		if s := f.byHash[hash]; s != nil {
+			s.othersInFlight = others.At(hash)
 			f.reportLoad(s, now)
 		}
 	}
@@ -236,7 +242,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, s := range f.servers {
-		s.othersInFlight = others.At(id)
+		s.othersInFlight = others.At(s.hash)
 		f.setImpairment(id, s, impairments[id])
 	}
 	f.updatePlacement(now)
@@ -378,23 +384,17 @@
 	return connected
 }
 
-// serverLoad is this entry's requests in flight at one server.
-type serverLoad struct {
-	id       string
-	inFlight int
-}
-
-// loads returns this entry's requests in flight at each server that has any.
-func (f *fleet) loads() []serverLoad {
+// inFlight returns this entry's requests in flight: the hash of its server for each of them.
+func (f *fleet) inFlight() []uint32 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var loads []serverLoad
-	for id, s := range f.servers {
-		if s.ownInFlight > 0 {
-			loads = append(loads, serverLoad{id, s.ownInFlight})
+	var inFlight []uint32
+	for _, s := range f.servers {
+		for range s.ownInFlight {
+			inFlight = append(inFlight, s.hash)
 		}
 	}
-	return loads
+	return inFlight
 }
 
 // maxConnections returns how many connections this entry may have to a server; zero for no limit.
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -37,12 +37,14 @@
 
 // loadSums returns sums over one other entry with the given requests in flight.
 func loadSums(inFlight map[string]int) *peering.LoadSums {
-	var loads []*api.ServerLoad
+	var all []uint32
 	for id, n := range inFlight {
-		loads = append(loads, &api.ServerLoad{Id: id, InFlight: uint32(n)})
+		for range n {
+			all = append(all, peering.ServerHash(id))
+		}
 	}
 	sums := peering.NewLoadSums()
-	sums.Set("10.0.1.1", loads)
+	sums.Set("10.0.1.1", all)
 	return sums
 }
 
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -32,9 +32,12 @@
 	// is back. With many entries, those that others read for wait longer.
 	minRetryInterval = 100 * time.Millisecond
 	maxRetryInterval = 400 * time.Millisecond
-	// idleInterval is the time between two reads of an entry that others read for. These reads
-	// repair what the others may have missed, and cost a tenth of a call per second.
+	// idleInterval is the least time between two reads of an entry that others read for. These reads
+	// repair what the others may have missed.
 	idleInterval = 10 * time.Second
+	// repairReadsPerSecond limits the reads per second and topic of all entries together that only
+	// repair. Otherwise they would grow with the number of entries, up to most of all calls.
+	repairReadsPerSecond = 2
 	// idleCheckInterval is how often such an entry checks whether it has to read the store itself.
 	idleCheckInterval = 50 * time.Millisecond
 )
@@ -62,9 +65,10 @@
 	store storeReader
 	// wait is the long poll of each read, interval the time between two reads.
 	wait, interval time.Duration
-	// isNeeded reports whether this entry is to read the topic now. Otherwise it reads once in
-	// idleInterval.
-	isNeeded func() bool
+	// isNeeded reports whether this entry is to read the topic now. Otherwise it reads once in the
+	// interval that repairInterval returns.
+	isNeeded       func() bool
+	repairInterval func() time.Duration
 	// maxBackoff returns the longest time between two calls while the store does not answer.
 	maxBackoff func() time.Duration
 	logger     log.Logger
@@ -118,7 +122,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if f.isNeeded() || clock.Now()-began >= idleInterval {
+		if f.isNeeded() || clock.Now()-began >= f.repairInterval() {
 			return nil
 		}
 		wait = idleCheckInterval
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,7 +186,19 @@
 }
 
 func (g *Gateway) newFollower(topic string, wait, interval time.Duration) *follower {
-	return &follower{topic: topic, store: g.store, wait: wait, interval: interval, isNeeded: g.readsStore.Load, maxBackoff: g.maxStoreBackoff, logger: logging.Part(g.logger, "store"), updates: g.updates}
+	return &follower{topic: topic, store: g.store, wait: wait, interval: interval, isNeeded: g.readsStore.Load, maxBackoff: g.maxStoreBackoff, logger: logging.Part(g.logger, "store"), updates: g.updates,
+		repairInterval: func() time.Duration { return g.repairInterval(idleInterval) }}
+}
+
+// repairInterval returns the time between two reads of the store that only repair what heartbeats
+// and other entries did not tell: least, or longer with many entries.
+func (g *Gateway) repairInterval(least time.Duration) time.Duration {
+	v := g.view.Load()
+	if v == nil {
+		return least
+	}
+	others := float64(v.entries - 1)
+	return max(least, time.Duration(others/repairReadsPerSecond*float64(time.Second)))
 }
 
 // maxStoreBackoff returns the longest time between two calls while the store does not answer.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -260,7 +260,7 @@
 	})
 	stream := make(chan reply, 1)
 	go func() { stream <- e.ask("POST", "/draft/1", "long") }()
-	e.until("the stream has begun", func() bool { return len(e.fleet.loads()) == 1 })
+	e.until("the stream has begun", func() bool { return len(e.fleet.inFlight()) == 1 })
 	e.cancel()
 	e.until("it is not ready", func() bool {
 		resp, err := http.Get("http://" + e.settings.Listen.Readiness + "/apricothub/readyz")
--- a/internal/gateway/heartbeat_test.go
+++ b/internal/gateway/heartbeat_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/coord/peering"
 	"github.com/apricothub/apricothub/test/fakeplatform"
 )
 
@@ -22,7 +24,7 @@
 			Vm: fmt.Sprint("front-", i), Ip: fmt.Sprintf("10.0.1.%d", i+1), FailureDomain: "a", Incarnation: 1, Sequence: sequence, Serving: true,
 		}
 		for j := range 8 {
-			b.Loads = append(b.Loads, &api.ServerLoad{Id: fmt.Sprint("i-", (i+int(sequence)+16*j)%129), InFlight: 1})
+			b.InFlight = append(b.InFlight, peering.ServerHash(fmt.Sprint("i-", (i+int(sequence)+16*j)%129)))
 		}
 		heartbeats = append(heartbeats, b)
 	}
@@ -40,8 +42,8 @@
 	}
 	want := 0
 	for _, s := range w.g.fleet.servers {
-		if s.othersInFlight != w.peerLoads.At(s.ID) {
-			t.Errorf("%d requests in flight known at %s, want %d", s.othersInFlight, s.ID, w.peerLoads.At(s.ID))
+		if s.othersInFlight != w.peerLoads.At(s.hash) {
+			t.Errorf("%d requests in flight known at %s, want %d", s.othersInFlight, s.ID, w.peerLoads.At(s.hash))
 		}
 		want += s.othersInFlight
 	}
@@ -59,7 +61,7 @@
 		want   bool
 	}{
 		"same state":        {func(*api.PeerBeat) {}, false},
-		"other loads":       {func(b *api.PeerBeat) { b.Loads = nil }, false},
+		"other loads":       {func(b *api.PeerBeat) { b.InFlight = nil }, false},
 		"begins to leave":   {func(b *api.PeerBeat) { b.Leaving = true }, true},
 		"new fence":         {func(b *api.PeerBeat) { b.Fence = 7 }, true},
 		"impaired server":   {func(b *api.PeerBeat) { b.Paces = []*api.ServerPace{{Id: "i-1", Pace: 3}} }, true},
@@ -87,7 +89,7 @@
 	w.applyHeartbeat(heartbeatsOf(1, 1)[0], time.Second)
 	w.reconcile(time.Second)
 	w.reconcile(3 * time.Second)
-	if n := w.peerLoads.At("i-1"); n != 0 {
+	if n := w.peerLoads.At(peering.ServerHash("i-1")); n != 0 {
 		t.Errorf("%d requests in flight are known of a silent entry", n)
 	}
 }
@@ -125,3 +127,20 @@
 		c.publishView(live, time.Second)
 	}
 }
+
+// With 99 entries, heartbeats are most of the bytes between failure domains. One must stay small.
+func TestAHeartbeatIsSmall(t *testing.T) {
+	const maxBytes = 180
+	b := heartbeatsOf(1, 1<<20)[0]
+	b.Vm, b.FailureDomain, b.Ip, b.CallersAddress = "front-south-a-12", "south-a", "10.1.0.12", "10.1.0.12:8600"
+	b.Incarnation, b.OperatorsNext, b.ServersNext, b.OperatorsChanged, b.ServersChanged = 1<<60, 40, 3000, 40, 3000
+	b.OperatorsAgeMs, b.ServersAgeMs = 900, 300
+	var others []string
+	for i := range maxOthers {
+		others = append(others, fmt.Sprint("10.1.0.", i))
+	}
+	b.OtherIps = peering.PackIPs(others)
+	if n := proto.Size(b); n > maxBytes {
+		t.Errorf("a heartbeat takes %d bytes, want at most %d", n, maxBytes)
+	}
+}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -15,8 +15,8 @@
 const (
 	// topicMembers holds the list of entries, keyed by VM.
 	topicMembers = "keyed.members"
-	// membersInterval is the time between two reads of the list. It is read at the start, and again
-	// for what heartbeats cannot repair: two halves that never heard of each other.
+	// membersInterval is the least time between two reads of the list. It is read at the start, and
+	// again for what heartbeats cannot repair: two halves that never heard of each other.
 	membersInterval = 20 * time.Second
 )
 
@@ -31,6 +31,9 @@
 // writes before it reads: of two that start at the same time, at least one learns of the other, and
 // its first heartbeat makes it known to the other. An entry that others have removed from the list,
 // as after a long silence, adds itself again.
+//
+// In an outage of the store, an entry that is listed has no need to hurry, and one that is not knows
+// the others by their heartbeats, so that the calls of all stay within storeRetriesPerSecond.
 func (g *Gateway) maintainMembership(ctx context.Context) error {
 	isListed := false
 	wait := time.Duration(0)
@@ -42,9 +45,11 @@
 		}
 		written := isListed || g.writeSelf(ctx)
 		members, read := g.readMembers(ctx)
-		wait = g.membersInterval
+		wait = g.repairInterval(g.membersInterval)
 		if !written || !read {
-			wait = maxRetryInterval
+			if !isListed {
+				wait = g.maxStoreBackoff()
+			}
 			continue
 		}
 		isListed = false
--- a/internal/gateway/members_test.go
+++ b/internal/gateway/members_test.go
@@ -69,3 +69,31 @@
 		t.Errorf("the coordinator removes %v", removals)
 	}
 }
+
+// The store is away, and 99 entries want to read the list of entries. Together they may not call more
+// often than storeRetriesPerSecond, or the calls of an outage grow with the number of entries and
+// meet a store that has just returned.
+func TestTheListIsReadSeldomInAnOutage(t *testing.T) {
+	t.Parallel()
+	settings := settingsFor(fakeplatform.NewStore(t))
+	settings.Store.Address = "127.0.0.1:1"
+	g := newGateway(settings, log.NewNopLogger())
+	g.storeRetryInterval.Store(int64(storeRetryInterval(false, 99)))
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*msec)
+	defer cancel()
+	_ = g.maintainMembership(ctx)
+	if reads := g.metrics.storeReads.Count(); reads > 1 {
+		t.Errorf("%d reads in 1.5 s, want one in 3.3 s", reads)
+	}
+}
+
+// Reads that only repair what heartbeats did not tell must not grow with the number of entries.
+func TestRepairReadsAreLimited(t *testing.T) {
+	g := newGateway(settingsFor(fakeplatform.NewStore(t)), log.NewNopLogger())
+	for entries, want := range map[int]time.Duration{1: idleInterval, 8: idleInterval, 99: 49 * time.Second, 491: 245 * time.Second} {
+		g.view.Store(&view{entries: entries})
+		if got := g.repairInterval(idleInterval); got != want {
+			t.Errorf("%d entries: %v between two reads, want %v", entries, got, want)
+		}
+	}
+}
