--- a/decide/place/pick.go
+++ b/decide/place/pick.go
@@ -29,9 +29,6 @@
 	if best == nil {
 		return "", o.refusal()
 	}
-	if connected := t.connectedServer(o, &req); connected != nil && connected.utilization() <= best.utilization() {
-		best = connected
-	}
 	if holder := t.affinityHolder(o, &req); holder != nil && t.withinAffinitySlack(holder, best) {
 		best = holder
 	}
@@ -41,26 +38,6 @@
 	return best.VM, api.ResultCode_OK
 }
 
-// connectedServer returns the least utilized open server to which the entry has an idle connection;
-// nil for none. Servers with a reduced limit are left to the random choice.
-//
-// An entry among many sends each of hundreds of servers a request in half a minute. Without this,
-// nearly every request would open a connection, although the server that answered the entry's last
-// request has just become free (join the idle queue).
-func (t *Table) connectedServer(o *offer, req *Request) *server {
-	var best *server
-	for _, vm := range req.Connected {
-		s := t.byVM[vm]
-		if s == nil || !s.openFor(o) || s.limit() < s.report.FullLimit || s.isExcluded(req) || s.tooSlow(req) {
-			continue
-		}
-		if best == nil || s.utilization() < best.utilization() {
-			best = s
-		}
-	}
-	return best
-}
-
 // withinAffinitySlack reports whether a server may be chosen for its affinity in place of the less
 // utilized one. Without this limit, a hot prefix or adapter, such as one used by every request of a
 // customer, would overload one backend server while others idle.
--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -114,8 +114,6 @@
 	Prefix uint64
 	// Adapter is the key of the adapter, as in Server.Offers; empty for none.
 	Adapter string
-	// Connected names the backend servers to which the entry has an idle connection.
-	Connected []string
 	// Avoid names the backend servers that must not be chosen, as they were tried already.
 	Avoid []string
 	// TimeLeft is the time until the request's deadline; zero for unknown.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -108,7 +108,12 @@
 
 func (a *attempt) run(ctx context.Context) attemptOutcome {
 	limit := a.g.fleet.maxConnections(a.server.ID)
-	conn, err := a.g.pool.Get(ctx, a.server.ID, a.server.Address, limit, a.t.needsNewConn())
+	// A request that must not run twice goes over a new connection. A kept connection may have gone
+	// silent or be closing: then it would be unknown whether the request was read, and the request
+	// would be lost although it never ran. The same goes for a request that hung before: it cannot
+	// afford to lose another attempt.
+	newConn := a.t.route.Kind == routing.AtMostOnce || a.t.history.hung
+	conn, err := a.g.pool.Get(ctx, a.server.ID, a.server.Address, limit, newConn)
 	if err != nil {
 		if errors.Is(err, upstream.ErrConnectionLimit) {
 			a.serverOutcome = outcomeRefused
--- a/internal/gateway/fate.go
+++ b/internal/gateway/fate.go
@@ -37,7 +37,6 @@
 	s.ownInFlight = max(s.ownInFlight-1, 0)
 	switch outcome {
 	case outcomeServed:
-		f.recordUsed(s)
 		f.ejector.RecordSuccess(id)
 		if s.workTime == 0 {
 			s.workTime = took
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -65,10 +64,6 @@
 	admitter *admit.Admitter
 	queue    map[uint64]*queuedRequest
 	lastID   uint64
-	// lastUsed holds, by service, the servers whose requests ended last, the latest first.
-	// hasIdleConn reports whether this entry has an idle connection to a server.
-	lastUsed    map[string][]string
-	hasIdleConn func(id string) bool
 	// teamsVersion is the version of the configuration that the admitter's teams come from.
 	teamsVersion int64
 	// engines are the services whose servers are engines.
@@ -127,8 +122,6 @@
 		maybeLive:       1,
 		admitter:        admit.New(admit.Config{MaxQueue: maxQueued, MaxWait: maxQueueWait, MaxRetryAfter: maxRetryAfter}),
 		queue:           make(map[uint64]*queuedRequest),
-		lastUsed:        make(map[string][]string),
-		hasIdleConn:     func(string) bool { return false },
 		running:         make(map[string]int),
 		queued:          make(map[string]int),
 		slotStates:      make(map[string]slotState),
@@ -320,8 +313,6 @@
 	service  string
 	tried    []string
 	timeLeft time.Duration
-	// needsNewConn means that the request goes over a new connection whatever server it gets.
-	needsNewConn bool
 }
 
 // placement is the backend server that a request goes to, with what was known of it then.
@@ -336,13 +327,9 @@
 // The caller holds the lock.
 func (f *fleet) pick(req pickRequest, now time.Duration) (placement, api.ResultCode) {
 	avoid := append([]string(nil), req.tried...)
-	var connected []string
-	if !req.needsNewConn {
-		connected = f.connectedServers(req.service)
-	}
 	skippedCold := false
 	for {
-		id, code := f.table.Pick(now, place.Request{Offer: offer(req.service), Avoid: avoid, Connected: connected, TimeLeft: req.timeLeft})
+		id, code := f.table.Pick(now, place.Request{Offer: offer(req.service), Avoid: avoid, TimeLeft: req.timeLeft})
 		if code != api.ResultCode_OK {
 			if skippedCold {
 				code = api.ResultCode_COLD
@@ -361,29 +348,6 @@
 	}
 }
 
-// maxLastUsed is the number of servers of a service that are remembered for their idle connections,
-// about as many as one entry has requests in flight.
-const maxLastUsed = 16
-
-// recordUsed records that a request to a server has ended. The caller holds the lock.
-func (f *fleet) recordUsed(s *server) {
-	ids := slices.DeleteFunc(f.lastUsed[s.Service], func(id string) bool { return id == s.ID })
-	ids = slices.Insert(ids, 0, s.ID)
-	f.lastUsed[s.Service] = ids[:min(len(ids), maxLastUsed)]
-}
-
-// connectedServers returns the servers of a service to which this entry has an idle connection. The
-// caller holds the lock.
-func (f *fleet) connectedServers(service string) []string {
-	var connected []string
-	for _, id := range f.lastUsed[service] {
-		if f.hasIdleConn(id) {
-			connected = append(connected, id)
-		}
-	}
-	return connected
-}
-
 // inFlight returns this entry's requests in flight: the hash of its server for each of them.
 func (f *fleet) inFlight() []uint32 {
 	f.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,7 +115,6 @@
 		stopped:         make(chan struct{}),
 	}
 	g.fleet.ejections = counters.ejected
-	g.fleet.hasIdleConn = g.pool.HasIdle
 	g.fleet.logger = logging.Part(logger, "servers")
 	g.readsStore.Store(true)
 	g.experts = experts.New(s.VM, s.PeerPort, g, g.store, logging.Part(logger, "experts"))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -131,7 +131,6 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 500 Oops\r\nUpstream-Signature: bad\r\nContent-Length: 0\r\n\r\n")
 		return true
 	})
-	e.chooseAtRandom()
 	for i := range 20 {
 		if r := e.ask("GET", "/look/1", "l"+string(rune('a'+i))); r.status != 200 {
 			t.Errorf("look-up %d: %+v", i, r)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -50,20 +50,6 @@
 	out *output
 }
 
-// pickRequest returns the request for a backend server.
-func (t *task) pickRequest(now time.Duration) pickRequest {
-	return pickRequest{service: t.service, tried: t.tried, timeLeft: timeLeft(t.deadline, now), needsNewConn: t.needsNewConn()}
-}
-
-// needsNewConn reports whether the next attempt must go over a new connection.
-//
-// For a request that must not run twice, a kept connection may have gone silent or be closing: then
-// it would be unknown whether the request was read, and the request would be lost although it never
-// ran. A request that hung before cannot afford to lose another attempt.
-func (t *task) needsNewConn() bool {
-	return t.route.Kind == routing.AtMostOnce || t.history.hung
-}
-
 // timeLeft returns the time until the deadline, at least 1 ms; zero stands for no deadline.
 func timeLeft(deadline, now time.Duration) time.Duration {
 	if deadline == 0 {
@@ -239,7 +225,7 @@
 	began := clock.Now()
 	for {
 		now := clock.Now()
-		s, code := g.fleet.pickForRetry(t.pickRequest(now), now)
+		s, code := g.fleet.pickForRetry(pickRequest{service: t.service, tried: t.tried, timeLeft: timeLeft(t.deadline, now)}, now)
 		if code == api.ResultCode_OK {
 			return s, nil
 		}
--- a/internal/gateway/hang_test.go
+++ b/internal/gateway/hang_test.go
@@ -93,7 +93,6 @@
 		return fakeplatform.Echo(s, conn)
 	}
 	_, servers, e := startWorld(t, answer, answer)
-	e.chooseAtRandom()
 	e.until("a connection to each server is kept", func() bool {
 		e.ask("GET", "/look/1", "first")
 		return len(servers[0].Requests()) > 0 && len(servers[1].Requests()) > 0
--- a/internal/gateway/silent.go
+++ b/internal/gateway/silent.go
@@ -264,7 +264,7 @@
 	if reason == silence.NotMoved || !budget.CanRetry() {
 		return nil, silence.NotMoved
 	}
-	s, code := f.pick(t.pickRequest(now), now)
+	s, code := f.pick(pickRequest{service: t.service, tried: t.tried, timeLeft: timeLeft(t.deadline, now)}, now)
 	if code != api.ResultCode_OK {
 		return nil, silence.NotMoved
 	}
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -180,7 +180,7 @@
 	if deadline == 0 {
 		deadline = now + noDeadline
 	}
-	q := &queuedRequest{request: t.pickRequest(now), admitted: make(chan admission, 1)}
+	q := &queuedRequest{request: pickRequest{service: t.service, timeLeft: timeLeft(t.deadline, now)}, admitted: make(chan admission, 1)}
 	d := f.admitter.Admit(now, admit.Request{
 		ID: id, Customer: t.team, Offer: offer(t.service), Deadline: deadline, Priority: -t.priority,
 	})
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -38,14 +38,6 @@
 	}
 }
 
-// chooseAtRandom has the entry choose servers whether or not it has connections to them, for tests
-// in which a caller that sends one request after the other must reach every server.
-func (e *entry) chooseAtRandom() {
-	e.fleet.mu.Lock()
-	defer e.fleet.mu.Unlock()
-	e.fleet.hasIdleConn = func(string) bool { return false }
-}
-
 // start runs a gateway and waits until it is ready.
 func start(t *testing.T, settings *platform.Settings) *entry {
 	t.Helper()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -118,15 +118,6 @@
 	}
 }
 
-// HasIdle reports whether there is an idle connection to a backend server that may be reused.
-func (p *Pool) HasIdle(server string) bool {
-	now := clock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	conns := p.idle[server]
-	return len(conns) > 0 && conns[len(conns)-1].canReuse(now)
-}
-
 func (c *Conn) canReuse(now time.Duration) bool {
 	idleTimeout := defaultIdleTimeout
 	if c.idleTimeout > 0 {
