--- a/coord/mapswitch/claim_test.go
+++ b/coord/mapswitch/claim_test.go
@@ -81,3 +81,23 @@
 		}
 	}
 }
+
+// The order to hold the group arrives after its pass has begun, as in a group so large that its
+// reports take as long as two passes. It is sent again at once for a later pass.
+func TestARefusedHoldIsSentAgainForALaterPass(t *testing.T) {
+	m := New(Config{})
+	m.ClaimAccepted(0, 1)
+	ready := Status{Epoch: 1, Step: 30, Prepared: 513}
+	first := m.Decide(0, []Status{ready}, 513)
+	if len(first.Orders) != 1 || first.Orders[0].Kind != Hold {
+		t.Fatalf("all prepared: %+v", first.Orders)
+	}
+	ready.Step = 33
+	if d := m.Decide(1, []Status{ready}, 513); len(d.Orders) != 0 {
+		t.Errorf("while the answer may come: %+v", d.Orders)
+	}
+	m.HoldRefused(first.Orders[0])
+	if d := m.Decide(2, []Status{ready}, 513); len(d.Orders) != 1 || d.Orders[0].Kind != Hold || d.Orders[0].Step != 35 {
+		t.Errorf("after the refusal: %+v", d.Orders)
+	}
+}
--- a/coord/mapswitch/mapswitch.go
+++ b/coord/mapswitch/mapswitch.go
@@ -173,6 +173,11 @@
 // for a report that may be stale, for each order that an engine leaves unanswered.
 func (m *Machine) OrderUnanswered(o Order) { delete(m.lastSent, o) }
 
+// HoldRefused reports that a rank has refused a hold, because its pass had begun. A hold at a later
+// pass may be sent at once: without this, a group with short passes, whose reports take as long as
+// two of them, would wait RetryInterval for each such refusal.
+func (m *Machine) HoldRefused(o Order) { delete(m.lastSent, o) }
+
 // ClaimAccepted reports that a rank has accepted a claim. Its status must have been read after
 // that.
 func (m *Machine) ClaimAccepted(rank int, epoch int64) { m.claimedEpoch[rank] = epoch }
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -353,6 +353,9 @@
 		if resp.reply.GetState() != nil && resp.reply.GetResult() == api.OrderResult_ORDER_UNKNOWN && !resp.direct {
 			g.machine.OrderUnanswered(o)
 		}
+		if o.Kind == mapswitch.Hold && resp.reply.GetResult() == api.OrderResult_ORDER_UNFIT {
+			g.machine.HoldRefused(o)
+		}
 		if o.Kind == mapswitch.Claim && resp.reply.GetResult() == api.OrderResult_ORDER_TAKEN {
 			g.machine.ClaimAccepted(rank, o.Epoch)
 		}
