--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -85,6 +85,8 @@
 	// this process started.
 	membersKnown bool
 	startedAt    time.Duration
+	// isStarted means that Gateway.started is closed.
+	isStarted bool
 	// liveVMs are the VMs of the live entries.
 	liveVMs map[string]bool
 }
@@ -343,6 +345,10 @@
 		_ = level.Info(c.logger).Log("msg", "The entries that serve have changed.", "addresses", len(v.addresses), "live", v.entries)
 	}
 	c.g.view.Store(v)
+	if ready && !c.isStarted {
+		c.isStarted = true
+		close(c.g.started)
+	}
 }
 
 // maxOthers limits the entries that a heartbeat names, so that it fits into one datagram.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,8 @@
 	stateRequests chan stateRequest
 	memberLists   chan memberList
 	leave         chan struct{}
+	// started is closed when this entry first knows the configuration and a backend server.
+	started chan struct{}
 	// stopped is closed when the process ends.
 	stopped chan struct{}
 }
@@ -112,6 +114,7 @@
 		stateRequests:   make(chan stateRequest),
 		memberLists:     make(chan memberList),
 		leave:           make(chan struct{}),
+		started:         make(chan struct{}),
 		stopped:         make(chan struct{}),
 	}
 	g.fleet.ejections = counters.ejected
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -61,7 +61,6 @@
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.metrics.requests.Inc(1)
-	v := g.view.Load()
 	if g.leaving.Load() {
 		// The caller opens its next connection to another entry.
 		w.Header().Set("Connection", "close")
@@ -72,7 +71,8 @@
 		t.deadline = t.callerDeadline
 	}
 	t.out = &output{w: w, rc: http.NewResponseController(w), eventGaps: g.metrics.eventGaps}
-	if err := g.prepare(t, v, r); err != nil {
+	g.awaitStart(r.Context(), t)
+	if err := g.prepare(t, g.view.Load(), r); err != nil {
 		g.refuse(t, err)
 		return
 	}
@@ -86,6 +86,32 @@
 	g.forward(ctx, t)
 }
 
+// maxStartWait limits how long a request waits for this entry to start. An entry that finds the store
+// and other entries is ready in half of that.
+const maxStartWait = time.Second
+
+// awaitStart waits until this entry knows the configuration and a backend server, within the limits
+// for queued requests.
+//
+// When many entries restart at once, callers reach them before they are ready. If these refused,
+// a caller's few attempts would be used up at one starting entry after the other.
+func (g *Gateway) awaitStart(ctx context.Context, t *task) {
+	select {
+	case <-g.started:
+		return
+	default:
+	}
+	wait := maxStartWait
+	if t.deadline > 0 {
+		wait = min(wait, time.Duration(maxQueueWaitRatio*float64(timeLeft(t.deadline, clock.Now()))))
+	}
+	select {
+	case <-g.started:
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
 // writeGrace is how long beyond the deadline a caller may take to read the end of its answer.
 const writeGrace = time.Second
 
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -90,3 +90,21 @@
 		t.Error("the entry goes on without receiving heartbeats")
 	}
 }
+
+// Many entries restart at once, and a caller's request reaches one that does not know the
+// configuration yet. It must wait for the moment that the entry needs, and be served: its caller has
+// few attempts, and the other entries start as well.
+func TestARequestWaitsForAnEntryThatStarts(t *testing.T) {
+	t.Parallel()
+	store := fakeplatform.NewStore(t)
+	e := launch(t, newGateway(settingsFor(store), log.NewNopLogger()))
+	e.until("the entry listens", func() bool { return e.view.Load() != nil })
+	answer := make(chan reply, 1)
+	go func() { answer <- e.ask("GET", "/look/1", "a") }()
+	time.Sleep(settleTime)
+	store.Configure(1, fakeplatform.Routes(), "key-1")
+	store.Serve(t, "i-a", fakeplatform.Echo)
+	if r := <-answer; r.status != 200 {
+		t.Errorf("the caller got %v", r)
+	}
+}
