--- a/internal/docgen/logs.go
+++ b/internal/docgen/logs.go
@@ -27,7 +27,7 @@
 | state | about the process: the state it acts on, start, stop, faults | the rest; at most half of that for one message |
 
 The limit applies to any period of one second. It is set by ` + "`--log-lines`" + ` of gateway and rank-agent,
-and by ` + "`[log] lines_per_second`" + ` of entry and agent; the default is %d. Half of it is the sustained
+and by ` + "`[log] lines-per-second`" + ` of entry and agent; the default is %d. Half of it is the sustained
 rate, half is available for bursts. The process never waits for the reader of its log: if standard
 output is not read, lines are queued in memory. When the queue is half full, lines about served
 requests are dropped; when it is full, all lines are. Dropped lines are counted: by message in
