--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -40,6 +40,11 @@
 	// MinRetryAfter and MaxRetryAfter limit the retry-after time of refusals. Defaults 100 ms and
 	// 30 s.
 	MinRetryAfter, MaxRetryAfter time.Duration
+	// BacklogStartsTogether says that requests which wait while none runs at this entry, as after a
+	// restart, start together once backend servers take them. Their waits are then those of a backlog,
+	// not of a customer that keeps others waiting. Off by default, since an entry whose requests are
+	// queued again by full agents also has none running.
+	BacklogStartsTogether bool
 	// RateBurstSeconds is the burst of a key's rate limit, in seconds of its rate. Default 1.
 	RateBurstSeconds float64
 }
@@ -206,6 +211,7 @@
 	o, ok := a.offers[key]
 	if !ok {
 		o = newOffer(key)
+		o.backlogStartsTogether = a.cfg.BacklogStartsTogether
 		a.offers[key] = o
 		a.offerKeys = append(a.offerKeys, key)
 	}
--- a/decide/admit/offer.go
+++ b/decide/admit/offer.go
@@ -13,6 +13,8 @@
 type offer struct {
 	key   string
 	slots int
+	// backlogStartsTogether is the field of that name of Config.
+	backlogStartsTogether bool
 	// lastSlots is the last known nonzero number of slots, from which waits are computed while
 	// backend servers are pending.
 	lastSlots    int
@@ -222,14 +224,19 @@
 // expectedWait is the time until one more request of a customer would start.
 //
 // Up to its share, a customer gets any slot that becomes free. Beyond, it gets only those freed by
-// its share or by its own running requests.
+// its share or by its own running requests. With Config.BacklogStartsTogether and none running, it
+// waits no longer than if it came last of all.
 func (o *offer) expectedWait(c *customer, work time.Duration) time.Duration {
 	ahead := float64(c.waiting.Len() + 1)
 	fair := o.fairShare(c)
 	withinShare := min(max(fair-float64(c.running), 0), ahead)
 	concurrency := o.expectedConcurrency(c)
 	slots := float64(max(o.expectedSlots(), 1))
-	return time.Duration(float64(work) * (withinShare/slots + (ahead-withinShare)/concurrency))
+	byShare := withinShare/slots + (ahead-withinShare)/concurrency
+	if o.backlogStartsTogether && o.running == 0 {
+		byShare = min(byShare, float64(o.waiting+1)/slots)
+	}
+	return time.Duration(float64(work) * byShare)
 }
 
 func (o *offer) workTimeOr(fallback time.Duration) time.Duration {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -120,7 +120,7 @@
 		budgets:         make(map[string]*place.RetryBudget),
 		entries:         1,
 		maybeLive:       1,
-		admitter:        admit.New(admit.Config{MaxQueue: maxQueued, MaxWait: maxQueueWait, MaxRetryAfter: maxRetryAfter}),
+		admitter:        admit.New(admit.Config{MaxQueue: maxQueued, MaxWait: maxQueueWait, MaxRetryAfter: maxRetryAfter, BacklogStartsTogether: true}),
 		queue:           make(map[uint64]*queuedRequest),
 		running:         make(map[string]int),
 		queued:          make(map[string]int),
