--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,8 +188,10 @@
 }
 
 func (g *Gateway) newFollower(topic string, wait, interval time.Duration) *follower {
-	return &follower{topic: topic, store: g.store, wait: wait, interval: interval, isNeeded: g.readsStore.Load, maxBackoff: g.maxStoreBackoff, logger: logging.Part(g.logger, "store"), updates: g.updates,
-		repairInterval: func() time.Duration { return g.repairInterval(idleInterval) }}
+	return &follower{
+		topic: topic, store: g.store, wait: wait, interval: interval, isNeeded: g.readsStore.Load, maxBackoff: g.maxStoreBackoff, logger: logging.Part(g.logger, "store"), updates: g.updates,
+		repairInterval: func() time.Duration { return g.repairInterval(idleInterval) },
+	}
 }
 
 // repairInterval returns the time between two reads of the store that only repair what heartbeats
