--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -394,7 +394,7 @@
 			"direct", resp.direct, "err", resp.err, "result", result.Label(api.ResultCode_CONFLICT))
 	}
 	if lackMap > 0 {
-		_ = level.Info(g.c.logger).Log("msg", "Rank agents do not hold the map in use and are sent the new one whole.", "group", g.name,
+		_ = level.Info(g.c.logger).Log("msg", "Rank agents lack the map in use and are sent the new one whole.", "group", g.name,
 			"ranks", lackMap, "version", g.targetVersion, "epoch", g.epoch)
 	}
 	for o, n := range accepted {
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -179,8 +179,12 @@
 	return o
 }
 
-// AddTo adds the map to an order: its changes, or the whole map if whole is set.
+// AddTo adds the map to an order: its changes, or the whole map if whole is set. A nil MapOrder adds
+// nothing, and engines refuse the order.
 func (m *MapOrder) AddTo(w *api.RankOrder, whole bool) {
+	if m == nil {
+		return
+	}
 	if whole || m.compact == nil {
 		w.Map = m.whole
 		return
