Sample the popularity of experts from the moment a group opens

Counts of ranks were kept only while their group was open, so after a power loss the first poll gave the base, the second one the first sample, and the first map was planned about 0.6 s after the group opened, while its queue runs on a map that fits nothing. Counts of a group that is not open are now kept as the base; the passes before the first poll are not counted for the sample.

--- a/decide/balance/layers.go
+++ b/decide/balance/layers.go
@@ -88,6 +88,10 @@
 	l.popularity.observe(passes, counts)
 }
 
+// Popularity returns each expert's fraction of all tokens, by set of layers, or nil while nothing was
+// observed. It must not be changed.
+func (l *LayerPlanner) Popularity() [][]float64 { return l.popularity.fractions }
+
 // SetSwitchTime sets the time of a change in addition to its copies.
 //
 // The passes of a group take most of a second when one engine is many times slower. With a switch
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -86,6 +86,7 @@
 	now := clock.Now()
 	status := statuses(members)
 	if status == nil || !g.ensurePlanner(members) {
+		g.noteCounts(members)
 		return g.isForming(now)
 	}
 	g.closedSince = 0
@@ -157,12 +158,16 @@
 const passTimeWeight = 0.5
 
 // updatePassTime updates the moving average of the pass time and returns the number of passes since
-// the last poll.
+// the last poll, which is zero in the first one: passes before it say nothing about the counts.
 func (g *group) updatePassTime(members []*member, now time.Duration) int64 {
 	g.maxPause = members[0].engine.MaxPause
 	step := members[0].reply.GetState().GetStep()
+	if g.lastStepAt == 0 {
+		g.lastStep, g.lastStepAt = step, now
+		return 0
+	}
 	passes := step - g.lastStep
-	if g.lastStepAt > 0 && passes > 0 {
+	if passes > 0 {
 		sample := (now - g.lastStepAt) / time.Duration(passes)
 		if g.passTime == 0 {
 			g.passTime = sample
@@ -185,19 +190,10 @@
 	}
 	hasCounts := false
 	for _, m := range members {
-		last := g.lastCounts[m.engine.ID]
-		counts := ranks.CountsFromWire(m.reply, last.counts)
-		if len(counts) != g.shape.LayerSets*g.shape.Experts {
-			continue
-		}
-		hasCounts = true
-		born := m.reply.GetState().GetBorn()
-		g.lastCounts[m.engine.ID] = rankCounts{id: m.reply.GetCountsId(), counts: counts, startedAtUnixMs: born}
-		if last.counts == nil || last.startedAtUnixMs != born {
-			continue
-		}
-		for i, n := range counts {
-			sums[i/g.shape.Experts][i%g.shape.Experts] += float64(max(n-last.counts[i], 0))
+		increase, ok := g.noteRankCounts(m)
+		hasCounts = hasCounts || ok
+		for i, n := range increase {
+			sums[i/g.shape.Experts][i%g.shape.Experts] += float64(n)
 		}
 	}
 	if hasCounts {
@@ -211,6 +207,35 @@
 	g.planner.ObserveSlowdowns(slowdowns)
 }
 
+// noteCounts keeps the counts of a group that is not open, so that the first poll after it opens
+// already shows which experts the queued requests choose.
+func (g *group) noteCounts(members []*member) {
+	for _, m := range members {
+		g.noteRankCounts(m)
+	}
+}
+
+// noteRankCounts keeps the counts in a rank's reply and returns by how much they have risen since
+// the last ones. The increase is nil if there are none to compare with, and ok is false if the reply
+// has no counts.
+func (g *group) noteRankCounts(m *member) (increase []int64, ok bool) {
+	last := g.lastCounts[m.engine.ID]
+	counts := ranks.CountsFromWire(m.reply, last.counts)
+	if len(counts) == 0 || len(counts) != m.engine.Config.LayerSets*m.engine.Config.Experts {
+		return nil, false
+	}
+	born := m.reply.GetState().GetBorn()
+	g.lastCounts[m.engine.ID] = rankCounts{id: m.reply.GetCountsId(), counts: counts, startedAtUnixMs: born}
+	if last.counts == nil || last.startedAtUnixMs != born {
+		return nil, true
+	}
+	increase = make([]int64, len(counts))
+	for i, n := range counts {
+		increase[i] = max(n-last.counts[i], 0)
+	}
+	return increase, true
+}
+
 // currentMaps returns the maps in use, or nil until all ranks have reported theirs.
 func (g *group) currentMaps(members []*member) []balance.LayerMap {
 	maps := make([]balance.LayerMap, g.shape.LayerSets)
