Record the popularity of experts in the store for the next coordinator

After a loss of power, and when a coordinator is replaced, nobody knows which experts are popular: the first map was planned from the first passes of a queue that already ran on a map that fits nothing. The record counts as one pass, so that a sample outweighs an outdated one.

--- a/decide/balance/layers.go
+++ b/decide/balance/layers.go
@@ -77,15 +77,33 @@
 // Observe records how often each expert was chosen in the passes since the last observation, by set
 // of layers. Counts that do not match the shape are ignored.
 func (l *LayerPlanner) Observe(passes int64, counts [][]float64) {
+	if l.matchesShape(counts) {
+		l.popularity.observe(passes, counts)
+	}
+}
+
+// Expect sets a popularity that was recorded before this planner was created, in tokens or any other
+// unit. It is ignored once anything was observed, and if it does not match the shape.
+//
+// A group that opens after a power loss runs its whole queue on a map that fits nothing. With the
+// popularity of a moment ago a map can be planned before the first pass is observed; if popularity has
+// changed meanwhile, the first sample outweighs it.
+func (l *LayerPlanner) Expect(popularity [][]float64) {
+	if l.matchesShape(popularity) {
+		l.popularity.expect(popularity)
+	}
+}
+
+func (l *LayerPlanner) matchesShape(counts [][]float64) bool {
 	if len(counts) != l.shape.LayerSets {
-		return
+		return false
 	}
 	for _, set := range counts {
 		if len(set) != l.shape.Experts {
-			return
+			return false
 		}
 	}
-	l.popularity.observe(passes, counts)
+	return true
 }
 
 // Popularity returns each expert's fraction of all tokens, by set of layers, or nil while nothing was
--- a/decide/balance/popularity.go
+++ b/decide/balance/popularity.go
@@ -16,6 +16,8 @@
 	passes float64
 	// noise is the average distance of one pass from the average popularity; zero while unknown.
 	noise float64
+	// isExpected means that nothing was observed yet, and fractions were recorded earlier.
+	isExpected bool
 }
 
 const (
@@ -34,13 +36,24 @@
 	initialNoise = 0.2
 )
 
+// expect sets a popularity that was recorded earlier, unless one was observed. It counts as one pass,
+// so that the first sample outweighs it.
+func (p *popularityTracker) expect(tokens [][]float64) {
+	if p.fractions != nil {
+		return
+	}
+	expected := normalizeAll(tokens)
+	if expected == nil {
+		return
+	}
+	p.fractions, p.passes, p.isExpected = expected, 1, true
+}
+
 // observe records the tokens that each expert received in some passes, by set.
 func (p *popularityTracker) observe(passes int64, tokens [][]float64) {
-	sample := make([][]float64, len(tokens))
-	for i, set := range tokens {
-		if sample[i] = normalize(set); sample[i] == nil {
-			return
-		}
+	sample := normalizeAll(tokens)
+	if sample == nil {
+		return
 	}
 	n := float64(max(passes, 1))
 	if p.fractions == nil {
@@ -53,10 +66,11 @@
 		p.reset(sample)
 		return
 	}
-	if p.noise == 0 {
-		p.noise = d / scale
+	// The distance from a popularity of long ago is no noise.
+	if !p.isExpected {
+		p.learnNoise(d / scale)
 	}
-	p.noise += noiseWeight * (d/scale - p.noise)
+	p.isExpected = false
 	p.passes = min(p.passes+n, maxAveragedPasses)
 	weight := min(n/p.passes, 1)
 	for i, set := range p.fractions {
@@ -66,6 +80,14 @@
 	}
 }
 
+// learnNoise adds the distance of one pass to the moving average of the noise.
+func (p *popularityTracker) learnNoise(distance float64) {
+	if p.noise == 0 {
+		p.noise = distance
+	}
+	p.noise += noiseWeight * (distance - p.noise)
+}
+
 // expectedNoise returns the measured noise of one pass, or initialNoise while it is unknown.
 func (p *popularityTracker) expectedNoise() float64 {
 	if p.noise == 0 {
@@ -77,7 +99,18 @@
 // reset restarts the average. The sample in which the change was detected spans both sides of the
 // change, and therefore counts as one pass only.
 func (p *popularityTracker) reset(sample [][]float64) {
-	p.fractions, p.passes = sample, 1
+	p.fractions, p.passes, p.isExpected = sample, 1, false
+}
+
+// normalizeAll returns the fractions of all sets, or nil if one of them has no tokens.
+func normalizeAll(tokens [][]float64) [][]float64 {
+	fractions := make([][]float64, len(tokens))
+	for i, set := range tokens {
+		if fractions[i] = normalize(set); fractions[i] == nil {
+			return nil
+		}
+	}
+	return fractions
 }
 
 // normalize returns the fraction of all tokens that each expert received; nil if there are none.
--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -113,6 +113,10 @@
 	impairments atomic.Pointer[map[string]Impairment]
 	// fenced reports whether an engine has refused the fence.
 	fenced bool
+	// recordedPopularity is the popularity of the experts of each group that a coordinator has
+	// recorded, popularityRead delivers it.
+	recordedPopularity map[string][][]float64
+	popularityRead     <-chan map[string][][]float64
 }
 
 // New returns a coordinator. It does nothing before Run.
@@ -215,6 +219,7 @@
 	}
 	c.fence.Store(offset + 1)
 	_ = level.Info(c.logger).Log("msg", "This entry coordinates the expert maps.", "fence", c.fence.Load())
+	c.startReadingPopularity(ctx)
 	return true
 }
 
@@ -224,6 +229,7 @@
 	c.impairments.Store(nil)
 	c.fenced = false
 	c.groups = make(map[string]*group)
+	c.recordedPopularity, c.popularityRead = nil, nil
 }
 
 // versionsPerFence is the number of map versions that one coordinator can create.
@@ -257,6 +263,7 @@
 // poll reads the state of all engines and takes the next step of each group. It reports whether the
 // next poll is due after busyPollInterval.
 func (c *Coordinator) poll(ctx context.Context) bool {
+	c.takePopularity()
 	engines := c.cluster.Engines()
 	needsCounts := c.needsCounts(clock.Now())
 	responses := c.callAll(ctx, engines, func(e Engine, _ bool) *api.RankRequest {
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -51,6 +51,11 @@
 	lastStepAt time.Duration
 	// closedSince is when the group was first seen closed; zero while it is open.
 	closedSince time.Duration
+	// recorder decides when the popularity of experts is recorded. isRecording means that a record is
+	// being written, and recordWritten delivers its outcome.
+	recorder      balance.Recorder
+	isRecording   bool
+	recordWritten chan error
 }
 
 // rankCounts are the counts of one rank.
@@ -71,6 +76,7 @@
 	return &group{
 		c: c, name: name, machine: mapswitch.New(mapswitch.Config{}),
 		lastCounts: make(map[string]rankCounts), loaded: make(map[string]loadedExperts),
+		recordWritten: make(chan error, 1),
 	}
 }
 
@@ -97,7 +103,9 @@
 	slices.SortFunc(members, func(a, b *member) int { return int(a.reply.GetState().GetRank() - b.reply.GetState().GetRank()) })
 	passes := g.updatePassTime(members, now)
 	g.machine.SetPassTime(g.passTime)
+	g.planner.Expect(g.c.recordedPopularity[g.name])
 	g.observe(members, passes)
+	g.recordPopularity(ctx, now)
 	current := g.currentMaps(members)
 	if g.targetVersion == 0 && current != nil {
 		g.planChange(current, members[0].reply.GetState().GetMap(), now)
