--- a/internal/experts/popularity.go
+++ b/internal/experts/popularity.go
@@ -90,7 +90,7 @@
 func (c *Coordinator) takePopularity() {
 	select {
 	case c.recordedPopularity = <-c.popularityRead:
-		_ = level.Info(c.logger).Log("msg", "The recorded popularity of experts was read.", "groups", len(c.recordedPopularity), "fence", c.fence.Load())
+		_ = level.Info(c.logger).Log("msg", "The recorded popularity of experts was read.", "fence", c.fence.Load())
 	default:
 	}
 }
--- a/internal/logging/sentences_test.go
+++ b/internal/logging/sentences_test.go
@@ -56,6 +56,7 @@
 	"The process leaves.":                                                 true,
 	"The process starts.":                                                 true,
 	"The process stops.":                                                  true,
+	"The recorded popularity of experts was read.":                        true,
 	"The settings were read.":                                             true,
 	"The store answers again.":                                            true,
 	"This agent coordinates the group.":                                   true,
