Let shares of cold servers start together where the limit allows it

After a loss of power, entries waited a second from the moment when they knew a server, and then up to the time in which a share accrues one token, 1.35 s with 35 entries before servers that bear 26 requests a second: requests were refused after 1.3 s at entries while 650 of 720 slots were free, and the backlog took 0.7 s to start. The second is counted from the start of the process, or from the end of an earlier share of the same server. Shares of less than one request a second send at most one in any second, so where one of each entry is within the limit all may start together.

--- a/decide/arrivals/arrivals.go
+++ b/decide/arrivals/arrivals.go
@@ -26,13 +26,15 @@
 }
 
 // burst returns how many requests each of the given number of entries may send at once, beyond its
-// share of the rate.
-//
-// One more share of the rate is reserved: a process that has just started sends its share before
-// all others know of it. With few entries nothing is left after that, and the burst is one request.
+// share of the rate. With few entries nothing is left for it, and the burst is one request.
 func (l Limit) burst(entries float64) int {
-	headroom := l.Rate*(l.MaxRatio-1) + l.Slack - l.Rate/entries
-	return max(1, int(headroom/entries))
+	return max(1, int((l.maxKnown(entries)-l.Rate)/entries))
+}
+
+// maxKnown is the limit for one second of the given number of entries. One more share of the rate is
+// reserved: a process that has just started sends its share before all others know of it.
+func (l Limit) maxKnown(entries float64) float64 {
+	return l.Rate*l.MaxRatio + l.Slack - l.Rate/entries
 }
 
 // stallThreshold is the time between two calls of Tick after which the process counts as stalled:
@@ -40,27 +42,34 @@
 // unresponsive entry.
 const stallThreshold = time.Second
 
+// StartDelay is how long a share of less than one request per second waits after the process, or an
+// earlier share of the same server, may have sent its last request. Requests of both then never fall
+// into the same second.
+const StartDelay = time.Second
+
 // Share is one entry's share of the requests to a backend server.
 type Share struct {
 	limit    Limit
 	entries  int
 	limiter  *rate.Limiter
 	lastTick time.Duration
-	// phase, from 0 to 1, delays the start of a share of less than one request per second. startsAt
-	// is the time of that start; zero once the share has started.
+	// phase, from 0 to 1, delays the start of a share of less than one request per second, if all
+	// entries may not start at once. startsAt is the time of that start; zero once the share has
+	// started.
 	phase    float64
 	startsAt time.Duration
 }
 
 // NewShare returns the share of one of the given number of entries. phase is a random number from 0
-// to 1.
+// to 1. A share of less than one request per second starts no sooner than notBefore, which is
+// StartDelay after the start of this process or the end of an earlier share of the same server.
 //
 // A new share has no saved tokens. Otherwise an entry, or many of them, that is killed and
 // restarted repeatedly would add a burst at each start to what the previous process has just sent.
-func NewShare(l Limit, entries int, phase float64, now time.Duration) *Share {
+func NewShare(l Limit, entries int, phase float64, notBefore, now time.Duration) *Share {
 	s := &Share{limit: l, entries: entries, phase: phase, lastTick: now}
 	s.limiter = rate.NewLimiter(s.rateAndBurst())
-	s.reset(now)
+	s.reset(now, notBefore)
 	return s
 }
 
@@ -88,7 +97,7 @@
 // burst when it wakes, before it learns how many entries there are.
 func (s *Share) Tick(now time.Duration) {
 	if now-s.lastTick > stallThreshold {
-		s.reset(now)
+		s.reset(now, now+StartDelay)
 	}
 	s.lastTick = now
 }
@@ -106,19 +115,26 @@
 }
 
 // reset discards the saved tokens of a share, and delays the start of one of less than one request
-// per second.
+// per second until notBefore.
 //
-// With so many entries that each may send a server one request in two seconds, entries that start
-// together could send nothing to any server for two seconds, though all servers are idle, and would
-// then all send to each server at the same moment. So each share starts at its own time for each
-// server: not before the requests of the previous process are a second old, and spread over the
-// time in which a share accrues one token. Requests then reach the server at its rate, and each
-// entry soon has a server that it may send to.
-func (s *Share) reset(now time.Duration) {
+// Such a share sends at most one request in any second, so if one request of each entry is within
+// the limit, all may start together. This matters after a power loss, when entries and servers start
+// together and a backlog waits.
+//
+// With more entries, the requests of all at the same moment would overload the server, and tokens
+// accrued from the start would come seconds late, and at the same moment too. So each share starts at
+// its own time for each server, spread over the time in which a share accrues one token. Requests
+// then reach the server at its rate, and each entry soon has a server that it may send to.
+func (s *Share) reset(now, notBefore time.Duration) {
 	at := asTime(now)
 	s.limiter.AllowN(at, int(s.limiter.TokensAt(at)))
-	if perSecond := float64(s.limiter.Limit()); perSecond > 0 && perSecond < 1 {
-		s.startsAt = now + time.Second + time.Duration(s.phase/perSecond*float64(time.Second))
+	perSecond := float64(s.limiter.Limit())
+	if perSecond <= 0 || perSecond >= 1 {
+		return
+	}
+	s.startsAt = max(now, notBefore, 1)
+	if n := float64(s.entries); n > s.limit.maxKnown(n) {
+		s.startsAt += time.Duration(s.phase / perSecond * float64(time.Second))
 	}
 }
 
--- a/decide/arrivals/arrivals_test.go
+++ b/decide/arrivals/arrivals_test.go
@@ -32,7 +32,7 @@
 func newSimulation(l Limit, entries int) *simulation {
 	sim := &simulation{limit: l, stalled: map[int]bool{}, rng: rand.New(rand.NewPCG(1, uint64(entries)))}
 	for range entries {
-		sim.shares = append(sim.shares, NewShare(l, entries, sim.rng.Float64(), 0))
+		sim.shares = append(sim.shares, NewShare(l, entries, sim.rng.Float64(), StartDelay, 0))
 	}
 	return sim
 }
@@ -76,7 +76,7 @@
 		"all are killed each 240 ms": func(sim *simulation, now time.Duration) {
 			if now > 0 && now%(240*msec) == 0 {
 				for i := range sim.shares {
-					sim.shares[i] = NewShare(sim.limit, len(sim.shares), sim.rng.Float64(), now)
+					sim.shares[i] = NewShare(sim.limit, len(sim.shares), sim.rng.Float64(), now+StartDelay, now)
 				}
 			}
 		},
@@ -84,7 +84,7 @@
 			n := len(sim.shares)
 			switch now {
 			case 4 * time.Second:
-				sim.shares = append(sim.shares, NewShare(sim.limit, n+1, sim.rng.Float64(), now))
+				sim.shares = append(sim.shares, NewShare(sim.limit, n+1, sim.rng.Float64(), now+StartDelay, now))
 			case 4*time.Second + 200*msec:
 				for _, s := range sim.shares {
 					s.Set(sim.limit, n, now)
@@ -161,7 +161,7 @@
 	for range entries {
 		var shares []*Share
 		for range servers {
-			shares = append(shares, NewShare(limit, entries, rng.Float64(), 0))
+			shares = append(shares, NewShare(limit, entries, rng.Float64(), StartDelay, 0))
 		}
 		waiting, now := 5, time.Duration(0)
 		for ; waiting > 0 && now < 3*time.Second; now += 20 * msec {
@@ -176,3 +176,50 @@
 		}
 	}
 }
+
+// Pattern: a backlog after a restart of everything. Entries start before their servers, of which each
+// bears one request of every entry within a second. Once the servers are known, an entry must be able
+// to send all that waits at once: half a second later callers have waited longer than they bear.
+func TestBacklogStartsAtOnceIfServersBearIt(t *testing.T) {
+	limit := Limit{Rate: 26, MaxRatio: 1.5, Slack: 5}
+	const entries, servers, backlog, serversKnownAt = 35, 72, 30, 1100 * msec
+	rng := rand.New(rand.NewPCG(4, 2))
+	allowed := 0
+	for range servers {
+		if NewShare(limit, entries, rng.Float64(), StartDelay, serversKnownAt).Allow(serversKnownAt) {
+			allowed++
+		}
+	}
+	if allowed < backlog {
+		t.Errorf("%d of %d queued requests may be sent at once", allowed, backlog)
+	}
+}
+
+// Shares of less than one request a second that start together must keep the limit, whenever requests
+// come, and also when all processes are killed in between or a server leaves the list and returns.
+func TestSharesThatStartTogetherKeepTheLimit(t *testing.T) {
+	for _, c := range []struct {
+		limit   Limit
+		entries int
+	}{
+		{Limit{Rate: 26, MaxRatio: 1.5, Slack: 5}, 35},
+		{Limit{Rate: 26, MaxRatio: 1.5, Slack: 5}, 43},
+		{Limit{Rate: 26, MaxRatio: 1.5, Slack: 5}, 44},
+		{Limit{Rate: 17, MaxRatio: 1.5, Slack: 5}, 25},
+		{Limit{Rate: 10, MaxRatio: 1.5, Slack: 50}, 60},
+	} {
+		for _, restart := range []time.Duration{0, 300 * msec, 900 * msec, 1300 * msec} {
+			sim := newSimulation(c.limit, c.entries)
+			sim.run(0, 6*time.Second, func(now time.Duration) {
+				if restart > 0 && now > 0 && now%restart == 0 {
+					for i := range sim.shares {
+						sim.shares[i] = NewShare(c.limit, c.entries, sim.rng.Float64(), now+StartDelay, now)
+					}
+				}
+			})
+			if n := sim.maxInOneSecond(); float64(n) > c.limit.maxPerSecond() {
+				t.Errorf("%d entries, all new each %v: %d requests within a second, %v at most", c.entries, restart, n, c.limit.maxPerSecond())
+			}
+		}
+	}
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -55,8 +55,10 @@
 	silenceDetector *silence.Detector
 	servers         map[string]*server
 	// byHash are the servers by the hash of their IDs.
-	byHash  map[uint32]*server
-	budgets map[string]*place.RetryBudget
+	byHash map[uint32]*server
+	// removedAt is when servers were removed that may return; times are since the process started.
+	removedAt map[string]time.Duration
+	budgets   map[string]*place.RetryBudget
 	// entries is the number of live entries, maybeLive that of entries that may still be running.
 	// Both include this one.
 	entries, maybeLive int
@@ -117,6 +119,7 @@
 		silenceDetector: silence.New(silence.Config{}),
 		engines:         make(map[string]bool),
 		servers:         make(map[string]*server),
+		removedAt:       make(map[string]time.Duration),
 		budgets:         make(map[string]*place.RetryBudget),
 		entries:         1,
 		maybeLive:       1,
@@ -156,6 +159,7 @@
 		}
 	}
 	old := f.servers
+	f.noteRemovals(registrations, now)
 	f.servers = make(map[string]*server, len(registrations))
 	f.byHash = make(map[uint32]*server, len(registrations))
 	placed := make([]place.Server, 0, len(registrations))
@@ -207,12 +211,30 @@
 	}
 	limit := arrivals.Limit{Rate: s.service.ColdRate, MaxRatio: f.limits.coldMaxRatio, Slack: f.limits.coldSlack}
 	if s.arrivals == nil {
-		s.arrivals = arrivals.NewShare(limit, f.maybeLive, f.rng.Float64(), now)
+		s.arrivals = arrivals.NewShare(limit, f.maybeLive, f.rng.Float64(), f.removedAt[s.ID]+arrivals.StartDelay, now)
 		return
 	}
 	s.arrivals.Set(limit, f.maybeLive, now)
 }
 
+// noteRemovals records which servers are no longer registered. One that returns within a second must
+// not get the requests of a new share in addition to those of the old one.
+func (f *fleet) noteRemovals(registrations []registry.Registration, now time.Duration) {
+	for id, at := range f.removedAt {
+		if now-at > arrivals.StartDelay {
+			delete(f.removedAt, id)
+		}
+	}
+	for id := range f.servers {
+		f.removedAt[id] = now
+	}
+	for _, r := range registrations {
+		if f.servers[r.ID] != nil {
+			delete(f.removedAt, r.ID)
+		}
+	}
+}
+
 // setOthersInFlight updates the other entries' requests in flight at some of the servers.
 func (f *fleet) setOthersInFlight(hashes []uint32, others *peering.LoadSums, now time.Duration) {
 	if len(hashes) == 0 {
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -64,6 +64,28 @@
 	return s.ID, code
 }
 
+// A registration lapses and is back within a second, as after a hiccup of the store. The server must
+// not get the requests of a new share on top of those of the old one.
+func TestAServerThatReturnsToTheListKeepsItsLimit(t *testing.T) {
+	const live, rate = 35, 26.0
+	sent := 0
+	for seed := range uint64(live) {
+		f := newTestFleet(1, 1000, live, rate, seed)
+		for now := 3 * time.Second; now < 4*time.Second; now += 10 * msec {
+			if now == 3500*msec {
+				f.setServers(nil, nil, serviceTable(rate), entryCounts{live, live}, now)
+				f.setServers(registrations(1, 1000), nil, serviceTable(rate), entryCounts{live, live}, now+msec)
+			}
+			if _, code := f.pickApp(now); code == api.ResultCode_OK {
+				sent++
+			}
+		}
+	}
+	if limit := int(rate*1.5 + 5); sent > limit {
+		t.Errorf("%d requests within a second, %d at most", sent, limit)
+	}
+}
+
 // Of twelve engines one is left, and it is cold, while eight entries get all requests of the
 // service. In no second may the engine get more than its cold rate allows, though no entry knows
 // what the others send.
