--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -71,7 +71,11 @@
 	sent := 0
 	for seed := range uint64(live) {
 		f := newTestFleet(1, 1000, live, rate, seed)
-		for now := 3 * time.Second; now < 4*time.Second; now += 10 * msec {
+		for now := 500 * msec; now < 4*time.Second; now += 10 * msec {
+			f.updatePlacement(now)
+			if now < 3*time.Second {
+				continue
+			}
 			if now == 3500*msec {
 				f.setServers(nil, nil, serviceTable(rate), entryCounts{live, live}, now)
 				f.setServers(registrations(1, 1000), nil, serviceTable(rate), entryCounts{live, live}, now+msec)
