Refuse at once requests for a service that has long been out of use

With too few engines for a group, or a group that cannot form, each request waited 1.3 s and was refused then. After ten seconds without a usable server, longer than a crashed engine takes to be replaced and its group to form, requests are refused at once, until a server may be used again.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -78,6 +78,8 @@
 	// failure domain that is out, also if they are ejected. running counts this entry's admitted
 	// requests of a service.
 	registered, running map[string]int
+	// outSince is since when no server of a service may be used.
+	outSince map[string]time.Duration
 	// queued counts the requests of a service that are queued here, slotStates holds the latest
 	// counts of the slots of each service.
 	queued     map[string]int
@@ -128,6 +130,7 @@
 		running:         make(map[string]int),
 		queued:          make(map[string]int),
 		slotStates:      make(map[string]slotState),
+		outSince:        make(map[string]time.Duration),
 		logger:          log.NewNopLogger(),
 		ejections:       metrics.NilCounter{},
 		refusing:        make(map[string]bool),
@@ -156,6 +159,7 @@
 	for service := range f.slotStates {
 		if cfg.Service(service) == nil {
 			delete(f.slotStates, service)
+			delete(f.outSince, service)
 		}
 	}
 	old := f.servers
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -29,6 +29,10 @@
 	// teamBurst is the number of requests that a team may have above its share while others wait,
 	// since callers of one team arrive together.
 	teamBurst = 4
+	// maxOutageWait is how long requests are queued for a service that has no usable server. It is
+	// longer than it takes until a crashed engine is replaced and its group has formed again; after
+	// that, nothing suggests that the service returns within a caller's patience.
+	maxOutageWait = 10 * time.Second
 	// noDeadline replaces the deadline of a request that has none.
 	noDeadline = time.Hour
 )
@@ -66,14 +70,7 @@
 	for service, concurrency := range f.registered {
 		key := offer(service)
 		free, capacity := f.table.Slots(key, now)
-		availability := admit.Available
-		switch {
-		case concurrency == 0:
-			availability = admit.Unavailable
-		case capacity == 0:
-			availability = admit.Pending
-		}
-		f.admitter.SetAvailability(key, availability)
+		f.admitter.SetAvailability(key, f.availability(service, concurrency, capacity, now))
 		f.admitter.ExpectSlots(key, concurrency/f.entries)
 		f.admitter.ExpectWorkTime(key, f.callTimes[service])
 		f.admitter.SetTotalCapacity(key, capacity, f.entries)
@@ -83,6 +80,26 @@
 	f.releaseQueued(now)
 }
 
+// availability returns whether the servers of a service take requests, given their concurrency and
+// how much of it may be used now. The caller holds the lock.
+//
+// Requests wait for a service whose servers are all out of use, but not for one that has been in this
+// state for long, such as engines too few for a group: they would be refused after their wait anyway.
+func (f *fleet) availability(service string, concurrency, capacity int, now time.Duration) admit.Availability {
+	if concurrency > 0 && capacity > 0 {
+		delete(f.outSince, service)
+		return admit.Available
+	}
+	since, ok := f.outSince[service]
+	if !ok {
+		f.outSince[service], since = now, now
+	}
+	if concurrency == 0 || now-since > maxOutageWait {
+		return admit.Unavailable
+	}
+	return admit.Pending
+}
+
 // releaseQueued starts or refuses the queued requests that the admitter selects. The caller holds
 // the lock.
 func (f *fleet) releaseQueued(now time.Duration) {
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/internal/experts"
+	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/internal/routing"
 )
 
@@ -78,3 +80,36 @@
 		}
 	}
 }
+
+// Pattern: engines too few for their group. Requests wait while the group may still form, but once it
+// has been closed for longer than any outage takes, they are refused at once, and start again as soon
+// as the group opens.
+func TestRequestsDoNotWaitForAServiceThatIsLongOut(t *testing.T) {
+	t.Parallel()
+	f := newSharedFleet(5, 0)
+	closed := make(map[string]experts.Impairment)
+	for id := range f.servers {
+		closed[id] = experts.Impairment{Slowdown: 1, Closed: true}
+	}
+	admitFor := func(now, patience time.Duration) (time.Duration, *result.Error) {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		task := &task{route: &routing.Route{Kind: routing.Stream}, service: "app", team: "team-1", deadline: now + 8*time.Second}
+		began := time.Now()
+		_, _, err := f.admitRequest(ctx, task, now)
+		return time.Since(began), err
+	}
+	const closedAt = time.Second
+	f.setPeerReports(loadSums(nil), closed, closedAt)
+	if waited, err := admitFor(closedAt+2*time.Second, 50*msec); err == nil || waited < 50*msec {
+		t.Errorf("2 s after the group closed: waited %v, %v; want to wait", waited, err)
+	}
+	f.setPeerReports(loadSums(nil), closed, closedAt+maxOutageWait+msec)
+	if waited, err := admitFor(closedAt+maxOutageWait+msec, time.Second); err == nil || waited > 500*msec {
+		t.Errorf("long after the group closed: waited %v, %v; want a refusal at once", waited, err)
+	}
+	f.setPeerReports(loadSums(nil), nil, closedAt+maxOutageWait+time.Second)
+	if _, err := admitFor(closedAt+maxOutageWait+time.Second, time.Second); err != nil {
+		t.Errorf("after the group opened: %v", err)
+	}
+}
