--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -176,6 +176,37 @@
 	return nil
 }
 
+// impairmentsOf returns the engines that are slow or closed, by ID, as their responses show.
+//
+// An engine that does not answer counts as closed if a closed group lacks a rank, since it may be that
+// rank. After a power loss engines answer one after the other: those that do not yet would otherwise
+// look like the only open ones, and entries would size their queues by these few and refuse the rest.
+func impairmentsOf(engines []Engine, responses []response) map[string]Impairment {
+	impairments := make(map[string]Impairment)
+	answered, sizes := make(map[string]int32), make(map[string]int32)
+	for i, resp := range responses {
+		state := resp.reply.GetState()
+		closed := state.GetGroup() != "" && !state.GetOpen()
+		if closed || state.GetPace() >= minSlowdown {
+			impairments[engines[i].ID] = Impairment{Slowdown: max(state.GetPace(), 1), Closed: closed}
+		}
+		if closed {
+			answered[state.GetGroup()]++
+			sizes[state.GetGroup()] = state.GetSize()
+		}
+	}
+	lacksRank := false
+	for group, size := range sizes {
+		lacksRank = lacksRank || answered[group] < size
+	}
+	for i, resp := range responses {
+		if lacksRank && resp.reply.GetState() == nil {
+			impairments[engines[i].ID] = Impairment{Slowdown: 1, Closed: true}
+		}
+	}
+	return impairments
+}
+
 // ensureFence reports whether this entry coordinates and has a fence. If it is selected and has
 // none, it requests one from the store.
 //
@@ -274,18 +305,14 @@
 		return req
 	})
 	members := make(map[string][]*member)
-	impairments := make(map[string]Impairment)
 	for i, resp := range responses {
 		state := resp.reply.GetState()
-		closed := state.GetGroup() != "" && !state.GetOpen()
-		if closed || state.GetPace() >= minSlowdown {
-			impairments[engines[i].ID] = Impairment{Slowdown: max(state.GetPace(), 1), Closed: closed}
-		}
 		if state.GetGroup() == "" || state.GetSize() == 0 {
 			continue
 		}
 		members[state.GetGroup()] = append(members[state.GetGroup()], &member{engine: engines[i], reply: resp.reply, stale: resp.direct})
 	}
+	impairments := impairmentsOf(engines, responses)
 	c.impairments.Store(&impairments)
 	busy := false
 	for name, ms := range members {
--- a/internal/experts/group_test.go
+++ b/internal/experts/group_test.go
@@ -69,3 +69,39 @@
 		t.Error("the first poll after the group opened gave no sample")
 	}
 }
+
+// Pattern: a backlog after a restart. Two ranks have answered that their group is closed, the others do
+// not answer yet. None of them is open, and the rank of another, open group that does not answer is
+// not taken for closed.
+func TestSilentRanksOfAClosedGroupAreClosed(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name       string
+		open       bool
+		answering  int
+		wantClosed int
+	}{
+		{"closed, two of four ranks answer", false, 2, groupSize},
+		{"closed, all ranks answer", false, groupSize, groupSize},
+		{"open, one rank does not answer", true, groupSize - 1, 0},
+		{"no rank answers", false, 0, 0},
+	} {
+		var engines []Engine
+		responses := make([]response, groupSize)
+		for rank, m := range newTestMembers(c.open, 0, nil) {
+			engines = append(engines, m.engine)
+			if rank < c.answering {
+				responses[rank].reply = m.reply
+			}
+		}
+		closed := 0
+		for _, impairment := range impairmentsOf(engines, responses) {
+			if impairment.Closed {
+				closed++
+			}
+		}
+		if closed != c.wantClosed {
+			t.Errorf("%s: %d engines are closed, want %d", c.name, closed, c.wantClosed)
+		}
+	}
+}
