Keep a rank that does not answer closed until its group is open

A coordinator with little processor time heard no rank of a closed group within the time limit of a poll. The report then named no closed engine, all entries sent what they had queued, 66 attempts were refused as not run, and with the retry budget spent their callers were refused too.

--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -109,6 +109,8 @@
 	// countsReadAt is when the counts were last read.
 	countsReadAt time.Duration
 	agents       map[string]*agentState // by engine ID
+	// groupOf holds the group that each engine last named, by engine ID.
+	groupOf map[string]string
 	// impairments holds the engines that are slow or closed. Other goroutines read it.
 	impairments atomic.Pointer[map[string]Impairment]
 	// fenced reports whether an engine has refused the fence.
@@ -128,8 +130,9 @@
 			MaxIdleConnsPerHost: 2,
 			IdleConnTimeout:     10 * time.Second,
 		}},
-		groups: make(map[string]*group),
-		agents: make(map[string]*agentState),
+		groups:  make(map[string]*group),
+		agents:  make(map[string]*agentState),
+		groupOf: make(map[string]string),
 	}
 }
 
@@ -176,32 +179,47 @@
 	return nil
 }
 
-// impairmentsOf returns the engines that are slow or closed, by ID, as their responses show.
+// impairmentsOf returns the engines that are slow or closed, by ID, as the responses show to one poll.
 //
-// An engine that does not answer counts as closed if a closed group lacks a rank, since it may be that
-// rank. After a power loss engines answer one after the other: those that do not yet would otherwise
-// look like the only open ones, and entries would size their queues by these few and refuse the rest.
-func impairmentsOf(engines []Engine, responses []response) map[string]Impairment {
+// An engine that does not answer stays closed if it was, until a rank of its group says that the group
+// is open; and it counts as closed if a closed group lacks a rank, since it may be that rank. After a
+// power loss engines answer one after the other, and a busy coordinator may hear none in time. Those
+// not heard would otherwise look like the only open ones: entries would size their queues by these few
+// and refuse the rest, or send what is queued to engines that refuse it.
+func (c *Coordinator) impairmentsOf(engines []Engine, responses []response) map[string]Impairment {
 	impairments := make(map[string]Impairment)
-	answered, sizes := make(map[string]int32), make(map[string]int32)
+	closedRanks, sizes, open := make(map[string]int32), make(map[string]int32), make(map[string]bool)
+	groupOf := make(map[string]string, len(engines))
 	for i, resp := range responses {
 		state := resp.reply.GetState()
-		closed := state.GetGroup() != "" && !state.GetOpen()
-		if closed || state.GetPace() >= minSlowdown {
-			impairments[engines[i].ID] = Impairment{Slowdown: max(state.GetPace(), 1), Closed: closed}
+		if state == nil {
+			groupOf[engines[i].ID] = c.groupOf[engines[i].ID]
+			continue
 		}
+		group := state.GetGroup()
+		groupOf[engines[i].ID] = group
+		closed := group != "" && !state.GetOpen()
 		if closed {
-			answered[state.GetGroup()]++
-			sizes[state.GetGroup()] = state.GetSize()
+			closedRanks[group]++
+			sizes[group] = state.GetSize()
+		} else {
+			open[group] = true
+		}
+		if closed || state.GetPace() >= minSlowdown {
+			impairments[engines[i].ID] = Impairment{Slowdown: max(state.GetPace(), 1), Closed: closed}
 		}
 	}
 	lacksRank := false
 	for group, size := range sizes {
-		lacksRank = lacksRank || answered[group] < size
+		lacksRank = lacksRank || closedRanks[group] < size
 	}
+	c.groupOf = groupOf
+	old := c.Impairments()
 	for i, resp := range responses {
-		if lacksRank && resp.reply.GetState() == nil {
-			impairments[engines[i].ID] = Impairment{Slowdown: 1, Closed: true}
+		id := engines[i].ID
+		staysClosed := old[id].Closed && !open[groupOf[id]]
+		if resp.reply.GetState() == nil && (lacksRank || staysClosed) {
+			impairments[id] = Impairment{Slowdown: 1, Closed: true}
 		}
 	}
 	return impairments
@@ -260,6 +278,7 @@
 	c.impairments.Store(nil)
 	c.fenced = false
 	c.groups = make(map[string]*group)
+	c.groupOf = make(map[string]string)
 	c.recordedPopularity, c.popularityRead = nil, nil
 }
 
@@ -312,7 +331,7 @@
 		}
 		members[state.GetGroup()] = append(members[state.GetGroup()], &member{engine: engines[i], reply: resp.reply, stale: resp.direct})
 	}
-	impairments := impairmentsOf(engines, responses)
+	impairments := c.impairmentsOf(engines, responses)
 	c.impairments.Store(&impairments)
 	busy := false
 	for name, ms := range members {
--- a/internal/experts/group_test.go
+++ b/internal/experts/group_test.go
@@ -70,32 +70,42 @@
 	}
 }
 
-// Pattern: a backlog after a restart. Two ranks have answered that their group is closed, the others do
-// not answer yet. None of them is open, and the rank of another, open group that does not answer is
-// not taken for closed.
+// Pattern: a backlog after a restart. While a group is closed, ranks that do not answer are closed too,
+// also when none answers in time; a rank of an open group that does not answer is not.
 func TestSilentRanksOfAClosedGroupAreClosed(t *testing.T) {
 	t.Parallel()
+	type poll struct {
+		open      bool
+		answering int
+	}
 	for _, c := range []struct {
 		name       string
-		open       bool
-		answering  int
+		polls      []poll
 		wantClosed int
 	}{
-		{"closed, two of four ranks answer", false, 2, groupSize},
-		{"closed, all ranks answer", false, groupSize, groupSize},
-		{"open, one rank does not answer", true, groupSize - 1, 0},
-		{"no rank answers", false, 0, 0},
+		{"closed, two of four ranks answer", []poll{{false, 2}}, groupSize},
+		{"closed, all ranks answer", []poll{{false, groupSize}}, groupSize},
+		{"open, one rank does not answer", []poll{{true, groupSize - 1}}, 0},
+		{"no rank has answered yet", []poll{{false, 0}}, 0},
+		{"closed, then no rank answers", []poll{{false, groupSize}, {false, 0}}, groupSize},
+		{"closed, then open, one rank does not answer", []poll{{false, groupSize}, {true, groupSize - 1}}, 0},
+		{"closed, open, then no rank answers", []poll{{false, groupSize}, {true, groupSize}, {true, 0}}, 0},
 	} {
-		var engines []Engine
-		responses := make([]response, groupSize)
-		for rank, m := range newTestMembers(c.open, 0, nil) {
-			engines = append(engines, m.engine)
-			if rank < c.answering {
-				responses[rank].reply = m.reply
+		coordinator := newUnclaimedGroup().c
+		for _, p := range c.polls {
+			var engines []Engine
+			responses := make([]response, groupSize)
+			for rank, m := range newTestMembers(p.open, 0, nil) {
+				engines = append(engines, m.engine)
+				if rank < p.answering {
+					responses[rank].reply = m.reply
+				}
 			}
+			impairments := coordinator.impairmentsOf(engines, responses)
+			coordinator.impairments.Store(&impairments)
 		}
 		closed := 0
-		for _, impairment := range impairmentsOf(engines, responses) {
+		for _, impairment := range coordinator.Impairments() {
 			if impairment.Closed {
 				closed++
 			}
