Take an engine that joins a closed group for closed until it is reported on

After a power loss engines register under new IDs, at each entry at another moment than at the coordinator, which reports on IDs. For up to 0.7 s the engines that it did not know yet looked like all that was left of the service, 1 to 15 of 72, and requests were refused for a long expected wait while the group was about to open.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -54,6 +54,8 @@
 	ejector         *eject.Tracker
 	silenceDetector *silence.Detector
 	servers         map[string]*server
+	// hasServers means that servers have been known.
+	hasServers bool
 	// byHash are the servers by the hash of their IDs.
 	byHash map[uint32]*server
 	// removedAt is when servers were removed that may return; times are since the process started.
@@ -96,6 +98,8 @@
 	service *routing.Service
 	// hash is the hash of its ID.
 	hash uint32
+	// joinedAt is when it was first known here, zero if it was among the first servers that were.
+	joinedAt time.Duration
 	// isLeaving means that it gets no new work, since it drains or its failure domain is out.
 	isLeaving bool
 	// ownInFlight counts this process's requests in flight at the server, othersInFlight those of
@@ -175,6 +179,9 @@
 		s := old[r.ID]
 		if s == nil {
 			s = &server{hash: peering.ServerHash(r.ID)}
+			if f.hasServers {
+				s.joinedAt = now
+			}
 		}
 		if s.StartedAtUnixMs != r.StartedAtUnixMs {
 			s.workTime = 0
@@ -195,6 +202,7 @@
 		}
 		placed = append(placed, place.Server{VM: r.ID, Domain: r.FailureDomain, Offers: []string{offer(r.Service)}, Weight: weight})
 	}
+	f.hasServers = f.hasServers || len(placed) > 0
 	f.table.SetServers(placed)
 	known := func(id string) bool { return f.servers[id] != nil }
 	f.ejector.Retain(known)
@@ -260,13 +268,47 @@
 func (f *fleet) setPeerReports(others *peering.LoadSums, impairments map[string]experts.Impairment, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	hasClosed, hasUnknownClosed := f.closedServices(impairments)
 	for id, s := range f.servers {
 		s.othersInFlight = others.At(s.hash)
-		f.setImpairment(id, s, impairments[id])
+		impairment := impairments[id]
+		impairment.Closed = impairment.Closed || (hasClosed[s.Service] || hasUnknownClosed) && s.isJoiningGroup(now)
+		f.setImpairment(id, s, impairment)
 	}
 	f.updatePlacement(now)
 }
 
+// closedServices returns the services of which a server is reported closed, and whether one is that
+// this entry does not know, such as the previous registration of an engine. The caller holds the lock.
+func (f *fleet) closedServices(impairments map[string]experts.Impairment) (services map[string]bool, hasUnknown bool) {
+	services = make(map[string]bool)
+	for id, impairment := range impairments {
+		switch s := f.servers[id]; {
+		case !impairment.Closed:
+		case s == nil:
+			hasUnknown = true
+		default:
+			services[s.Service] = true
+		}
+	}
+	return services, hasUnknown
+}
+
+// maxUnreportedTime is how long after an engine was first known here the coordinator may not have
+// reported on it: the time between two reads of the registrations, and a poll of the engines.
+const maxUnreportedTime = time.Second
+
+// isJoiningGroup reports whether a server is an engine of a lock-step group that has just registered,
+// so that the coordinator may not know it yet.
+//
+// After a power loss engines register one after the other, under new IDs. Where others of the service
+// are closed, such an engine is part of a group that forms again. If it counted as open, this entry
+// would take it for all that the service has left, and refuse what it expects to wait too long for it.
+func (s *server) isJoiningGroup(now time.Duration) bool {
+	isRank := s.service.Engine != nil && s.service.Engine.Experts > 0
+	return isRank && s.joinedAt > 0 && now-s.joinedAt < maxUnreportedTime
+}
+
 // setImpairment sets how slow a server is, and whether it is closed. The caller holds the lock.
 func (f *fleet) setImpairment(id string, s *server, impairment experts.Impairment) {
 	oldLimit, wasClosed := s.inFlightLimit(), s.closed
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -113,3 +113,41 @@
 		t.Errorf("after the group opened: %v", err)
 	}
 }
+
+// Pattern: a backlog after a restart. The engines of a group register anew one after the other while it
+// forms. Those that the coordinator does not report on yet must not look like the only open ones:
+// requests would be refused for a long expected wait, moments before the group opens.
+func TestRequestsWaitWhileTheEnginesOfAGroupRegister(t *testing.T) {
+	t.Parallel()
+	const ranks = 8
+	cfg := routing.NewTable(&routing.Config{
+		Version:  2,
+		Services: []routing.Service{{Name: "app", Engine: &routing.Engine{Experts: 16}}},
+		Routes:   []routing.Route{{Kind: routing.Stream, Targets: []routing.Target{{Service: "app", Weight: 1}}}},
+	})
+	f := newTestFleet(0, 0, 1, 0)
+	old := registrations(ranks, 10)
+	f.setServers(old, nil, cfg, entryCounts{35, 35}, 100*msec)
+	closed := make(map[string]experts.Impairment)
+	for _, r := range old {
+		closed[r.ID] = experts.Impairment{Slowdown: 1, Closed: true}
+	}
+	renewed := registrations(ranks, 10)
+	for _, count := range []int{2, ranks} {
+		for i := range count {
+			renewed[i].ID = fmt.Sprint("new-", i)
+		}
+		f.setServers(renewed, nil, cfg, entryCounts{35, 35}, 600*msec)
+		f.setPeerReports(loadSums(nil), closed, 650*msec)
+		if s, code := f.pickForRetry(pickRequest{service: "app"}, 650*msec); code == api.ResultCode_OK {
+			t.Errorf("%d engines are new: a request is sent to %s while the group forms", count, s.ID)
+		}
+		if got := f.slotState("app").capacity; got != 0 {
+			t.Errorf("%d engines are new: %d slots are counted while the group forms, want 0", count, got)
+		}
+	}
+	f.setPeerReports(loadSums(nil), nil, 700*msec)
+	if _, code := f.pickForRetry(pickRequest{service: "app"}, 700*msec); code != api.ResultCode_OK {
+		t.Errorf("no request is sent after the group opened: %v", code)
+	}
+}
