--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -181,8 +181,9 @@
 
 // impairmentsOf returns the engines that are slow or closed, by ID, as the responses show to one poll.
 //
-// An engine that does not answer stays closed if it was, until a rank of its group says that the group
-// is open; and it counts as closed if a closed group lacks a rank, since it may be that rank. After a
+// An engine that does not answer, or names no group, stays closed if it was, until a rank of its group
+// says that the group is open; and it counts as closed if a closed group lacks a rank, since it may be
+// that rank. After a
 // power loss engines answer one after the other, and a busy coordinator may hear none in time. Those
 // not heard would otherwise look like the only open ones: entries would size their queues by these few
 // and refuse the rest, or send what is queued to engines that refuse it.
@@ -192,19 +193,18 @@
 	groupOf := make(map[string]string, len(engines))
 	for i, resp := range responses {
 		state := resp.reply.GetState()
-		if state == nil {
+		group := state.GetGroup()
+		if group == "" {
 			groupOf[engines[i].ID] = c.groupOf[engines[i].ID]
-			continue
+		} else {
+			groupOf[engines[i].ID] = group
 		}
-		group := state.GetGroup()
-		groupOf[engines[i].ID] = group
 		closed := group != "" && !state.GetOpen()
 		if closed {
 			closedRanks[group]++
 			sizes[group] = state.GetSize()
-		} else {
-			open[group] = true
 		}
+		open[group] = open[group] || group != "" && !closed
 		if closed || state.GetPace() >= minSlowdown {
 			impairments[engines[i].ID] = Impairment{Slowdown: max(state.GetPace(), 1), Closed: closed}
 		}
@@ -218,8 +218,8 @@
 	for i, resp := range responses {
 		id := engines[i].ID
 		staysClosed := old[id].Closed && !open[groupOf[id]]
-		if resp.reply.GetState() == nil && (lacksRank || staysClosed) {
-			impairments[id] = Impairment{Slowdown: 1, Closed: true}
+		if resp.reply.GetState().GetGroup() == "" && (lacksRank || staysClosed) {
+			impairments[id] = Impairment{Slowdown: max(impairments[id].Slowdown, 1), Closed: true}
 		}
 	}
 	return impairments
--- a/internal/experts/group_test.go
+++ b/internal/experts/group_test.go
@@ -77,19 +77,22 @@
 	type poll struct {
 		open      bool
 		answering int
+		// restarted means that the other ranks answer too, and name no group yet.
+		restarted bool
 	}
 	for _, c := range []struct {
 		name       string
 		polls      []poll
 		wantClosed int
 	}{
-		{"closed, two of four ranks answer", []poll{{false, 2}}, groupSize},
-		{"closed, all ranks answer", []poll{{false, groupSize}}, groupSize},
-		{"open, one rank does not answer", []poll{{true, groupSize - 1}}, 0},
-		{"no rank has answered yet", []poll{{false, 0}}, 0},
-		{"closed, then no rank answers", []poll{{false, groupSize}, {false, 0}}, groupSize},
-		{"closed, then open, one rank does not answer", []poll{{false, groupSize}, {true, groupSize - 1}}, 0},
-		{"closed, open, then no rank answers", []poll{{false, groupSize}, {true, groupSize}, {true, 0}}, 0},
+		{"closed, two of four ranks answer", []poll{{false, 2, false}}, groupSize},
+		{"closed, two of four ranks have restarted", []poll{{false, 2, true}}, groupSize},
+		{"closed, all ranks answer", []poll{{false, groupSize, false}}, groupSize},
+		{"open, one rank does not answer", []poll{{true, groupSize - 1, false}}, 0},
+		{"no rank has answered yet", []poll{{false, 0, false}}, 0},
+		{"closed, then no rank answers", []poll{{false, groupSize, false}, {false, 0, false}}, groupSize},
+		{"closed, then open, one rank does not answer", []poll{{false, groupSize, false}, {true, groupSize - 1, false}}, 0},
+		{"closed, open, then no rank answers", []poll{{false, groupSize, false}, {true, groupSize, false}, {true, 0, false}}, 0},
 	} {
 		coordinator := newUnclaimedGroup().c
 		for _, p := range c.polls {
@@ -99,6 +102,8 @@
 				engines = append(engines, m.engine)
 				if rank < p.answering {
 					responses[rank].reply = m.reply
+				} else if p.restarted {
+					responses[rank].reply = &api.RankReply{State: &api.RankState{}}
 				}
 			}
 			impairments := coordinator.impairmentsOf(engines, responses)
