Take engines of a mostly closed service for closed after a start

An entry that started during a power loss knew engines under IDs that the coordinator had not read yet, from its first look at the registrations on. If more than two thirds of a service's engines are reported closed, those of which nothing is reported count as closed for a second, too.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -98,8 +98,10 @@
 	service *routing.Service
 	// hash is the hash of its ID.
 	hash uint32
-	// joinedAt is when it was first known here, zero if it was among the first servers that were.
+	// joinedAt is when it was first known here. isFirst means that it was among the first servers that
+	// this process knew.
 	joinedAt time.Duration
+	isFirst  bool
 	// isLeaving means that it gets no new work, since it drains or its failure domain is out.
 	isLeaving bool
 	// ownInFlight counts this process's requests in flight at the server, othersInFlight those of
@@ -178,10 +180,7 @@
 		}
 		s := old[r.ID]
 		if s == nil {
-			s = &server{hash: peering.ServerHash(r.ID)}
-			if f.hasServers {
-				s.joinedAt = now
-			}
+			s = &server{hash: peering.ServerHash(r.ID), joinedAt: now, isFirst: !f.hasServers}
 		}
 		if s.StartedAtUnixMs != r.StartedAtUnixMs {
 			s.workTime = 0
@@ -268,45 +267,69 @@
 func (f *fleet) setPeerReports(others *peering.LoadSums, impairments map[string]experts.Impairment, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	hasClosed, hasUnknownClosed := f.closedServices(impairments)
+	closed := f.countClosed(impairments)
 	for id, s := range f.servers {
 		s.othersInFlight = others.At(s.hash)
 		impairment := impairments[id]
-		impairment.Closed = impairment.Closed || (hasClosed[s.Service] || hasUnknownClosed) && s.isJoiningGroup(now)
+		impairment.Closed = impairment.Closed || s.isJoiningClosedGroup(closed, now)
 		f.setImpairment(id, s, impairment)
 	}
 	f.updatePlacement(now)
 }
 
-// closedServices returns the services of which a server is reported closed, and whether one is that
-// this entry does not know, such as the previous registration of an engine. The caller holds the lock.
-func (f *fleet) closedServices(impairments map[string]experts.Impairment) (services map[string]bool, hasUnknown bool) {
-	services = make(map[string]bool)
+// closedServers counts the servers that are reported closed.
+type closedServers struct {
+	// byService counts them by service, of total servers. unknown counts those that this entry does not
+	// know, such as previous registrations of engines.
+	byService, total map[string]int
+	unknown          int
+}
+
+// countClosed counts the servers that are reported closed. The caller holds the lock.
+func (f *fleet) countClosed(impairments map[string]experts.Impairment) closedServers {
+	c := closedServers{byService: make(map[string]int), total: make(map[string]int)}
 	for id, impairment := range impairments {
 		switch s := f.servers[id]; {
 		case !impairment.Closed:
 		case s == nil:
-			hasUnknown = true
+			c.unknown++
 		default:
-			services[s.Service] = true
+			c.byService[s.Service]++
 		}
 	}
-	return services, hasUnknown
+	for _, s := range f.servers {
+		c.total[s.Service]++
+	}
+	return c
 }
 
-// maxUnreportedTime is how long after an engine was first known here the coordinator may not have
-// reported on it: the time between two reads of the registrations, and a poll of the engines.
-const maxUnreportedTime = time.Second
+const (
+	// maxUnreportedTime is how long after an engine was first known here the coordinator may not have
+	// reported on it: the time between two reads of the registrations, and a poll of the engines.
+	maxUnreportedTime = time.Second
+	// mostlyClosedRatio is the fraction of a service's servers from which on, if they are reported
+	// closed, also those count as closed that this process has known from its start.
+	mostlyClosedRatio = 2.0 / 3
+)
 
-// isJoiningGroup reports whether a server is an engine of a lock-step group that has just registered,
-// so that the coordinator may not know it yet.
+// isJoiningClosedGroup reports whether a server is an engine of a lock-step group that has registered
+// so recently that the coordinator may not know it, while others of its service are closed.
 //
-// After a power loss engines register one after the other, under new IDs. Where others of the service
-// are closed, such an engine is part of a group that forms again. If it counted as open, this entry
-// would take it for all that the service has left, and refuse what it expects to wait too long for it.
-func (s *server) isJoiningGroup(now time.Duration) bool {
+// After a power loss engines register one after the other, under new IDs, and join a group that forms
+// again. If such an engine counted as open, this entry would take it for all that the service has
+// left, and refuse what it expects to wait too long for it. An entry that has just started knows
+// which engines are new only if most of the others are closed: the service may have several groups,
+// of which one is out.
+func (s *server) isJoiningClosedGroup(closed closedServers, now time.Duration) bool {
 	isRank := s.service.Engine != nil && s.service.Engine.Experts > 0
-	return isRank && s.joinedAt > 0 && now-s.joinedAt < maxUnreportedTime
+	if !isRank || now-s.joinedAt >= maxUnreportedTime {
+		return false
+	}
+	n := closed.byService[s.Service] + closed.unknown
+	if s.isFirst {
+		return float64(n) > mostlyClosedRatio*float64(closed.total[s.Service])
+	}
+	return n > 0
 }
 
 // setImpairment sets how slow a server is, and whether it is closed. The caller holds the lock.
