Try a failed look-up again at the only server, and hold no error until the deadline

It is now tried again at the same server if there is no other, within the route's attempts and the retry budget, and the wait is at most half of the time left.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,7 +5,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/apricothub/apricothub/test/fakeplatform"
 )
@@ -27,6 +29,11 @@
 	return store, servers, e
 }
 
+// withDeadline sets the deadline of a request, in milliseconds.
+func withDeadline(ms string) func(*http.Request) {
+	return func(r *http.Request) { r.Header.Set("Deadline-Ms", ms) }
+}
+
 // A request is forwarded unchanged: path with its escapes, query, body and headers. The key is
 // removed, and the team's name is that of the key's holder, whatever the caller sent.
 func TestARequestGoesThroughUnchanged(t *testing.T) {
@@ -141,6 +148,56 @@
 	}
 }
 
+// Pattern: a service with one server left, which fails some look-ups. Each is tried again there, and no
+// caller sees a failure.
+func TestALookUpIsTriedAgainAtTheOnlyServer(t *testing.T) {
+	t.Parallel()
+	tries := make(map[string]int)
+	var mu sync.Mutex
+	_, _, e := startWorld(t, func(s fakeplatform.ReceivedRequest, conn net.Conn) bool {
+		mu.Lock()
+		tries[s.ID()]++
+		first := tries[s.ID()] == 1
+		mu.Unlock()
+		if first {
+			_, _ = io.WriteString(conn, "HTTP/1.1 500 Oops\r\nUpstream-Signature: bad\r\nContent-Length: 4\r\n\r\noops")
+			return true
+		}
+		return fakeplatform.Echo(s, conn)
+	})
+	if r := e.ask("GET", "/look/1", "a", withDeadline("900")); r.status != 200 {
+		t.Errorf("look-up: %+v", r)
+	}
+	if r := e.ask("POST", "/push/1", "b", withDeadline("900")); r.status != 500 {
+		t.Errorf("push: %+v, want the server's error", r)
+	}
+	if tries["a"] != 2 || tries["b"] != 1 {
+		t.Errorf("attempts by request: %v, want 2 of the look-up and 1 of the push", tries)
+	}
+}
+
+// The only server fails a look-up and goes. Its error must reach the caller while there is time to try
+// again, not at the deadline.
+func TestAServersErrorIsNotHeldUntilTheDeadline(t *testing.T) {
+	t.Parallel()
+	const deadline = 900 * time.Millisecond
+	var server *fakeplatform.Server
+	ready := make(chan struct{})
+	_, servers, e := startWorld(t, func(_ fakeplatform.ReceivedRequest, conn net.Conn) bool {
+		<-ready
+		_, _ = io.WriteString(conn, "HTTP/1.1 500 Oops\r\nUpstream-Signature: bad\r\nContent-Length: 4\r\n\r\noops")
+		server.Kill()
+		return true
+	})
+	server = servers[0]
+	close(ready)
+	began := time.Now()
+	r := e.ask("GET", "/look/1", "a", withDeadline("900"))
+	if took := time.Since(began); r.status != 500 || took > deadline*3/4 {
+		t.Errorf("%+v after %v, want the server's error well before the deadline of %v", r, took, deadline)
+	}
+}
+
 // When all servers fail, the caller gets a server's error answer, with its signature.
 func TestTheServersFailureIsPassedOn(t *testing.T) {
 	t.Parallel()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -221,7 +221,7 @@
 			g.giveUp(ctx, t, result.New(api.ResultCode_SATURATED))
 			return
 		}
-		if s, err = g.waitForRetryServer(ctx, t); err != nil {
+		if s, err = g.waitForRetryServer(ctx, t, outcome); err != nil {
 			g.giveUp(ctx, t, err)
 			return
 		}
@@ -242,20 +242,35 @@
 	// first attempt, and retryServerInterval how often it checks for one.
 	maxRetryServerWait  = time.Second
 	retryServerInterval = 25 * time.Millisecond
+	// maxFallbackWaitRatio limits that wait, for a request that has the error answer of a server, to
+	// this fraction of the time left: a caller that gets the error in time may still try again.
+	maxFallbackWaitRatio = 0.5
 )
 
-// waitForRetryServer picks another backend server for a request that is already admitted. If none
-// is available, it waits for one, for maxRetryServerWait at most, also if the caller already has
-// part of the answer.
-func (g *Gateway) waitForRetryServer(ctx context.Context, t *task) (placement, *result.Error) {
+// waitForRetryServer picks a backend server for another attempt of a request that is already admitted,
+// given the outcome of the last one. If none is available, it waits for one, for maxRetryServerWait at
+// most, also if the caller already has part of the answer.
+//
+// A server that has returned an error is tried again if there is no other one, as when a failure domain
+// of a small service is out: errors of a few requests in a hundred need not repeat.
+func (g *Gateway) waitForRetryServer(ctx context.Context, t *task, outcome attemptOutcome) (placement, *result.Error) {
 	began := clock.Now()
+	maxWait := maxRetryServerWait
+	if t.out.fallback != nil && t.deadline > 0 {
+		maxWait = min(maxWait, time.Duration(maxFallbackWaitRatio*float64(timeLeft(t.deadline, began))))
+	}
 	for {
 		now := clock.Now()
-		s, code := g.fleet.pickForRetry(pickRequest{service: t.service, tried: t.tried, timeLeft: timeLeft(t.deadline, now)}, now)
+		req := pickRequest{service: t.service, tried: t.tried, timeLeft: timeLeft(t.deadline, now)}
+		s, code := g.fleet.pickForRetry(req, now)
+		if code != api.ResultCode_OK && outcome == serverError {
+			req.tried = nil
+			s, code = g.fleet.pickForRetry(req, now)
+		}
 		if code == api.ResultCode_OK {
 			return s, nil
 		}
-		if now-began > maxRetryServerWait {
+		if now-began > maxWait {
 			return placement{}, result.New(code)
 		}
 		select {
