--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -92,10 +92,10 @@
 		closed[id] = experts.Impairment{Slowdown: 1, Closed: true}
 	}
 	admitFor := func(now, patience time.Duration) (time.Duration, *result.Error) {
+		began := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
 		task := &task{route: &routing.Route{Kind: routing.Stream}, service: "app", team: "team-1", deadline: now + 8*time.Second}
-		began := time.Now()
 		_, _, err := f.admitRequest(ctx, task, now)
 		return time.Since(began), err
 	}
