--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -199,6 +199,9 @@
 // read as the answer to the next request.
 func (a *attempt) discardRefusal() attemptOutcome {
 	a.serverOutcome = outcomeRefused
+	if a.answer.WrongServer {
+		a.serverOutcome = outcomeReplaced
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, maxRefusalBytes+1))
 	a.isWhole = err == nil && n <= maxRefusalBytes
 	return notRun
--- a/internal/gateway/fate.go
+++ b/internal/gateway/fate.go
@@ -18,6 +18,8 @@
 	outcomeServed serverOutcome = iota
 	// outcomeRefused: the server did not accept the request.
 	outcomeRefused
+	// outcomeReplaced: another server answered at its address.
+	outcomeReplaced
 	// outcomeFailed: the server failed the request.
 	outcomeFailed
 	// outcomeUnreachable: no connection to the server could be made.
@@ -46,18 +48,26 @@
 		f.logEjection(s, "it fails requests", f.ejector.RecordFailure(id, now))
 	case outcomeUnreachable:
 		f.logEjection(s, "it cannot be reached", f.ejector.RecordUnreachable(id, now))
+	case outcomeReplaced:
+		s.replacedUntil = now + maxOutdatedTime
+		_ = level.Info(f.logger).Log("msg", "A backend server was replaced at its address.", "server", s.ID,
+			"service", s.Service, "failure_domain", s.FailureDomain)
 	case outcomeRefused, outcomeUnknown:
 	}
 	f.table.Ended(id, now, place.Outcome{
 		Latency: took,
-		Refused: outcome == outcomeRefused,
+		Refused: outcome == outcomeRefused || outcome == outcomeReplaced,
 		Failed:  outcome == outcomeFailed || outcome == outcomeUnreachable,
 	})
-	if outcome == outcomeFailed || outcome == outcomeUnreachable {
+	if outcome == outcomeFailed || outcome == outcomeUnreachable || outcome == outcomeReplaced {
 		f.updatePlacement(now)
 	}
 }
 
+// maxOutdatedTime is how long a server that another one has replaced at its address gets no requests:
+// longer than its registration lasts, unless the store is away.
+const maxOutdatedTime = 5 * time.Second
+
 // logEjection counts and logs that a server was ejected for the given duration; zero means that it
 // was not.
 func (f *fleet) logEjection(s *server, cause string, duration time.Duration) {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -102,6 +102,8 @@
 	// this process knew.
 	joinedAt time.Duration
 	isFirst  bool
+	// replacedUntil is until when it gets no new work because another server answered at its address.
+	replacedUntil time.Duration
 	// isLeaving means that it gets no new work, since it drains or its failure domain is out.
 	isLeaving bool
 	// ownInFlight counts this process's requests in flight at the server, othersInFlight those of
@@ -183,7 +185,7 @@
 			s = &server{hash: peering.ServerHash(r.ID), joinedAt: now, isFirst: !f.hasServers}
 		}
 		if s.StartedAtUnixMs != r.StartedAtUnixMs {
-			s.workTime = 0
+			s.workTime, s.replacedUntil = 0, 0
 		}
 		s.Server = r.Server
 		s.service = service
@@ -381,7 +383,7 @@
 		f.reportLoad(s, now)
 		// When all servers of a service fail, the cause lies elsewhere, and no server is worse than
 		// the others.
-		f.table.SetSuspect(id, s.closed || s.isTooSlow(hasFast) || f.refusing[s.Service] || f.isUnavailable(id, now) && unavailable[s.Service] < total[s.Service])
+		f.table.SetSuspect(id, s.closed || now < s.replacedUntil || s.isTooSlow(hasFast) || f.refusing[s.Service] || f.isUnavailable(id, now) && unavailable[s.Service] < total[s.Service])
 	}
 	f.updateCapacity(now)
 }
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -90,6 +90,32 @@
 	}
 }
 
+// Servers have started anew under other IDs, and the old registrations are still listed. A server that
+// has been found replaced must not cost another request one of its attempts, unless it registers again.
+func TestAReplacedServerGetsNothing(t *testing.T) {
+	f := newTestFleet(2, 4, 1, 0)
+	s, code := f.pickForRetry(pickRequest{service: "app", tried: []string{"i-1"}}, 0)
+	if code != api.ResultCode_OK || s.ID != "i-0" {
+		t.Fatalf("picked %q, %v", s.ID, code)
+	}
+	f.endAttempt("i-0", outcomeReplaced, msec, msec)
+	for now := 2 * msec; now < 3*time.Second; now += 20 * msec {
+		f.updatePlacement(now)
+		if id, code := f.pickApp(now); code == api.ResultCode_OK {
+			if id == "i-0" {
+				t.Fatalf("a request goes to the replaced server after %v", now)
+			}
+			f.endAttempt(id, outcomeServed, msec, now)
+		}
+	}
+	again := registrations(2, 4)
+	again[0].StartedAtUnixMs = 9
+	f.setServers(again, nil, serviceTable(0), entryCounts{1, 1}, 3*time.Second)
+	if _, code := f.pickForRetry(pickRequest{service: "app", tried: []string{"i-1"}}, 3*time.Second); code != api.ResultCode_OK {
+		t.Errorf("no request goes to a server that has registered again: %v", code)
+	}
+}
+
 // Of twelve engines one is left, and it is cold, while eight entries get all requests of the
 // service. In no second may the engine get more than its cold rate allows, though no entry knows
 // what the others send.
--- a/internal/logging/sentences_test.go
+++ b/internal/logging/sentences_test.go
@@ -20,6 +20,7 @@
 	"A failure domain was marked.":                                        true,
 	"A link is established.":                                              true,
 	"A link to an agent outside the subset is dropped.":                   true,
+	"A backend server was replaced at its address.":                       true,
 	"A new expert map is in use.":                                         true,
 	"A newer link replaces an older one.":                                 true,
 	"A registration is new or has changed.":                               true,
