Send nothing to a lock-step service before an engine says that it is open

After a power loss entries are ready before the group of their engines is open and before a coordinator reports it closed. A process that starts now asks one engine after the other for the state of its group, and lets requests go when one says that it is open.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -258,6 +258,9 @@
 		c.changed = false
 		c.entryCounts = counts
 		c.g.fleet.setServers(c.registry.Registrations(), c.domainsOut, c.table, counts, now)
+		for _, service := range c.g.fleet.takeUnconfirmed() {
+			go c.g.confirmOpen(service)
+		}
 	}
 	c.peerLoads.Retain(live)
 	c.g.fleet.setPeerReports(c.peerLoads, c.reportedImpairments(live), now)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -76,6 +76,10 @@
 	callTimes map[string]time.Duration
 	// refusing are the services for which this entry has observed that no server accepts work.
 	refusing map[string]bool
+	// confirmed are the lock-step services that have been marked as refusing once, when this process
+	// first knew a server of theirs; unconfirmed are those of them to be returned by takeUnconfirmed.
+	confirmed   map[string]bool
+	unconfirmed []string
 	// registered is the concurrency of all servers of a service that neither drain nor are in a
 	// failure domain that is out, also if they are ejected. running counts this entry's admitted
 	// requests of a service.
@@ -142,6 +146,7 @@
 		logger:          log.NewNopLogger(),
 		ejections:       metrics.NilCounter{},
 		refusing:        make(map[string]bool),
+		confirmed:       make(map[string]bool),
 	}
 }
 
@@ -200,6 +205,7 @@
 			weight = 0
 		} else {
 			f.registered[r.Service] += r.Concurrency
+			f.markUnconfirmed(s)
 		}
 		placed = append(placed, place.Server{VM: r.ID, Domain: r.FailureDomain, Offers: []string{offer(r.Service)}, Weight: weight})
 	}
@@ -314,6 +320,9 @@
 	mostlyClosedRatio = 2.0 / 3
 )
 
+// isRank reports whether a server is an engine of a lock-step group.
+func (s *server) isRank() bool { return s.service.Engine != nil && s.service.Engine.Experts > 0 }
+
 // isJoiningClosedGroup reports whether a server is an engine of a lock-step group that has registered
 // so recently that the coordinator may not know it, while others of its service are closed.
 //
@@ -323,8 +332,7 @@
 // which engines are new only if most of the others are closed: the service may have several groups,
 // of which one is out.
 func (s *server) isJoiningClosedGroup(closed closedServers, now time.Duration) bool {
-	isRank := s.service.Engine != nil && s.service.Engine.Experts > 0
-	if !isRank || now-s.joinedAt >= maxUnreportedTime {
+	if !s.isRank() || now-s.joinedAt >= maxUnreportedTime {
 		return false
 	}
 	n := closed.byService[s.Service] + closed.unknown
--- a/internal/gateway/refusing.go
+++ b/internal/gateway/refusing.go
@@ -20,6 +20,9 @@
 	// maxRefusingTime is how long a group counts as broken without an answer that it is open. It is
 	// longer than ranks take to form a group; after that requests are sent again and show it.
 	maxRefusingTime = 5 * time.Second
+	// maxUnconfirmedTime is how long this process waits at most until an engine says that its group is
+	// open. By then the coordinator reports which engines are closed.
+	maxUnconfirmedTime = 2 * time.Second
 )
 
 // markRefusing records that an engine with free slots has refused a request. It returns true if the
@@ -41,6 +44,44 @@
 	return true
 }
 
+// markUnconfirmed marks a lock-step service as refusing when this process first knows a server of it.
+// The caller holds the lock.
+//
+// After a power loss entries are ready before the group of their engines is open, and before a
+// coordinator reports that it is closed. If all that was queued were sent at once, as it may be when
+// the shares of cold servers start, every engine would refuse it, and with the retry budget spent the
+// callers would be refused, too. So one engine must first say that its group is open.
+func (f *fleet) markUnconfirmed(s *server) {
+	if !s.isRank() || f.confirmed[s.Service] {
+		return
+	}
+	f.confirmed[s.Service] = true
+	f.refusing[s.Service] = true
+	f.unconfirmed = append(f.unconfirmed, s.Service)
+}
+
+// takeUnconfirmed returns the services for which the caller must run confirmOpen, each of them once.
+func (f *fleet) takeUnconfirmed() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	services := f.unconfirmed
+	f.unconfirmed = nil
+	return services
+}
+
+// randomServer returns a server of a service that takes new work, and false if there is none.
+func (f *fleet) randomServer(service string) (registry.Server, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	// The order of a map is random.
+	for _, s := range f.servers {
+		if s.Service == service && !s.isLeaving {
+			return s.Server, true
+		}
+	}
+	return registry.Server{}, false
+}
+
 // clearRefusing records that a service accepts work again.
 func (f *fleet) clearRefusing(service string) {
 	f.mu.Lock()
@@ -73,19 +114,46 @@
 		"open", isOpen, "took_ms", (clock.Now() - began).Milliseconds())
 }
 
-// isGroupOpen reports whether an engine's group is open. It asks the rank agent beside the engine,
-// or the engine itself if the agent does not answer.
+// confirmOpen asks one engine of a service after the other until one says that its group is open, and
+// then lets requests go to the service.
+func (g *Gateway) confirmOpen(service string) {
+	began := clock.Now()
+	isOpen := false
+	for !isOpen && clock.Now()-began < maxUnconfirmedTime {
+		if s, ok := g.fleet.randomServer(service); ok {
+			isOpen = g.rankState(s).GetOpen()
+		}
+		if !isOpen {
+			select {
+			case <-time.After(openCheckInterval):
+			case <-g.stopped:
+				return
+			}
+		}
+	}
+	g.fleet.clearRefusing(service)
+	_ = level.Info(g.logger).Log("msg", "A service of lock-step engines may get requests.", "service", service,
+		"open", isOpen, "took_ms", (clock.Now() - began).Milliseconds())
+}
+
+// isGroupOpen reports whether an engine's group is open, or it has none.
 func (g *Gateway) isGroupOpen(s registry.Server) bool {
+	state := g.rankState(s)
+	return state != nil && (state.GetGroup() == "" || state.GetOpen())
+}
+
+// rankState returns the state of an engine, or nil if it does not answer. It asks the rank agent beside
+// the engine, or the engine itself if the agent does not answer.
+func (g *Gateway) rankState(s registry.Server) *api.RankState {
 	ctx, cancel := context.WithTimeout(context.Background(), platform.EngineCallTimeout)
 	defer cancel()
+	reply := &api.RankReply{}
 	rankAgent, err := ranks.AgentAddress(s.Address, g.settings.PeerPort)
-	if err != nil {
-		return true
+	if err == nil {
+		reply, err = ranks.CallAgent(ctx, g.peerClient, rankAgent, &api.RankRequest{})
 	}
-	reply, err := ranks.CallAgent(ctx, g.peerClient, rankAgent, &api.RankRequest{})
 	if err != nil {
 		reply = ranks.Execute(ctx, platform.NewEngine(s.Address, g.peerClient), &api.RankRequest{})
 	}
-	state := reply.GetState()
-	return state != nil && (state.GetGroup() == "" || state.GetOpen())
+	return reply.GetState()
 }
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -128,6 +128,7 @@
 	f := newTestFleet(0, 0, 1, 0)
 	old := registrations(ranks, 10)
 	f.setServers(old, nil, cfg, entryCounts{35, 35}, 100*msec)
+	f.clearRefusing("app")
 	closed := make(map[string]experts.Impairment)
 	for _, r := range old {
 		closed[r.ID] = experts.Impairment{Slowdown: 1, Closed: true}
@@ -151,3 +152,37 @@
 		t.Errorf("no request is sent after the group opened: %v", code)
 	}
 }
+
+// Pattern: a backlog after a restart. An entry that has just started knows neither a coordinator's report
+// nor an answer of an engine. What is queued must not be sent before an engine says that its group is
+// open: all engines would refuse it.
+func TestNothingIsSentToAGroupThatMayBeClosed(t *testing.T) {
+	t.Parallel()
+	cfg := routing.NewTable(&routing.Config{
+		Version:  2,
+		Services: []routing.Service{{Name: "app", Engine: &routing.Engine{Experts: 16}}, {Name: "plain"}},
+	})
+	f := newTestFleet(0, 0, 1, 0)
+	servers := registrations(4, 10)
+	servers[3].Service = "plain"
+	for _, now := range []time.Duration{100 * msec, 200 * msec} {
+		f.setServers(servers, nil, cfg, entryCounts{35, 35}, now)
+		if s, code := f.pickForRetry(pickRequest{service: "app"}, now); code == api.ResultCode_OK {
+			t.Errorf("a request is sent to %s before its group is known to be open", s.ID)
+		}
+	}
+	if _, code := f.pickForRetry(pickRequest{service: "plain"}, 200*msec); code != api.ResultCode_OK {
+		t.Errorf("no request is sent to a service without groups: %v", code)
+	}
+	if services := f.takeUnconfirmed(); len(services) != 1 || services[0] != "app" {
+		t.Errorf("services to confirm: %v, want the one with groups", services)
+	}
+	f.clearRefusing("app")
+	f.setServers(servers, nil, cfg, entryCounts{35, 35}, 300*msec)
+	if _, code := f.pickForRetry(pickRequest{service: "app"}, 300*msec); code != api.ResultCode_OK {
+		t.Errorf("no request is sent after an engine said that its group is open: %v", code)
+	}
+	if services := f.takeUnconfirmed(); len(services) != 0 {
+		t.Errorf("services to confirm again: %v", services)
+	}
+}
--- a/internal/logging/sentences_test.go
+++ b/internal/logging/sentences_test.go
@@ -12,6 +12,7 @@
 
 // events are the sentences of lines that are not about a failure. All other lines have a result.
 var events = map[string]bool{
+	"A service of lock-step engines may get requests.":                    true,
 	"A service that refused work was watched.":                            true,
 	"The registration of a backend server has expired.":                   true,
 	"A backend server is ordered to load.":                                true,
