--- a/decide/balance/recorder.go
+++ b/decide/balance/recorder.go
@@ -20,8 +20,11 @@
 // Recorder decides when the popularity of a group's experts must be recorded for a planner to come,
 // such as that of the next coordinator.
 type Recorder struct {
-	recorded   [][]float64
-	recordedAt time.Duration
+	// recorded is the last record, nil for none. recordedAt is when the last one was due, and hasRecorded
+	// means that one was.
+	recorded    [][]float64
+	recordedAt  time.Duration
+	hasRecorded bool
 }
 
 // Due reports whether the popularity that a planner has observed must be recorded now, because it
@@ -31,14 +34,18 @@
 	if current.fractions == nil || current.isExpected || current.passes < minRecordPasses {
 		return false
 	}
-	if r.recorded != nil && (now-r.recordedAt < minRecordInterval || meanDistance(r.recorded, current.fractions) < minRecordDistance) {
+	if r.hasRecorded && now-r.recordedAt < minRecordInterval {
 		return false
 	}
-	r.recorded, r.recordedAt = cloneSets(current.fractions), now
+	if r.recorded != nil && meanDistance(r.recorded, current.fractions) < minRecordDistance {
+		return false
+	}
+	r.recorded, r.recordedAt, r.hasRecorded = cloneSets(current.fractions), now, true
 	return true
 }
 
-// Forget makes the current popularity due again, as after a record that could not be written.
+// Forget makes the current popularity due again after minRecordInterval, as after a record that could
+// not be written.
 func (r *Recorder) Forget() { r.recorded = nil }
 
 func cloneSets(sets [][]float64) [][]float64 {
--- a/decide/balance/recorder_test.go
+++ b/decide/balance/recorder_test.go
@@ -85,9 +85,29 @@
 	if d := meanDistance(truth, r.recorded); d > minRecordDistance {
 		t.Errorf("the record is off by %.3f", d)
 	}
+	observe(2)
+	before := records
 	r.Forget()
 	observe(2)
-	if records < 3 {
-		t.Error("a record that could not be written is not repeated")
+	if records != before+1 {
+		t.Errorf("a record that could not be written was repeated %d times, want 1", records-before)
+	}
+}
+
+// While the store is away, each record fails. A coordinator must not call it with each observation.
+func TestFailedRecordsAreRepeatedOnceASecond(t *testing.T) {
+	rng := rand.New(rand.NewPCG(11, 1))
+	l, r := newRecordPlanner(t), &Recorder{}
+	truth := zipfFractions(rng, recordShape.LayerSets, recordShape.Experts, 1.1)
+	records := 0
+	for now := time.Duration(0); now < 10*time.Second; now += 200 * time.Millisecond {
+		l.Observe(3, drawTokens(rng, truth, 3, 3000))
+		if r.Due(l, now) {
+			records++
+			r.Forget()
+		}
+	}
+	if records < 8 || records > 10 {
+		t.Errorf("%d records in ten seconds, want one a second", records)
 	}
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -217,43 +217,6 @@
 	f.updatePlacement(now)
 }
 
-// limitArrivals sets how many requests per second this entry sends to a server.
-//
-// A cold server, or one that turns cold without reporting it, is overloaded when other servers fail
-// and their work moves to it. The limit is for all entries together. Each entry keeps to its share
-// without asking the others, also while the server counts as warm, since a server's report about
-// itself may be stale.
-func (f *fleet) limitArrivals(s *server, now time.Duration) {
-	if s.service.ColdRate <= 0 {
-		s.arrivals = nil
-		return
-	}
-	limit := arrivals.Limit{Rate: s.service.ColdRate, MaxRatio: f.limits.coldMaxRatio, Slack: f.limits.coldSlack}
-	if s.arrivals == nil {
-		s.arrivals = arrivals.NewShare(limit, f.maybeLive, f.rng.Float64(), f.removedAt[s.ID]+arrivals.StartDelay, now)
-		return
-	}
-	s.arrivals.Set(limit, f.maybeLive, now)
-}
-
-// noteRemovals records which servers are no longer registered. One that returns within a second must
-// not get the requests of a new share in addition to those of the old one.
-func (f *fleet) noteRemovals(registrations []registry.Registration, now time.Duration) {
-	for id, at := range f.removedAt {
-		if now-at > arrivals.StartDelay {
-			delete(f.removedAt, id)
-		}
-	}
-	for id := range f.servers {
-		f.removedAt[id] = now
-	}
-	for _, r := range registrations {
-		if f.servers[r.ID] != nil {
-			delete(f.removedAt, r.ID)
-		}
-	}
-}
-
 // setOthersInFlight updates the other entries' requests in flight at some of the servers.
 func (f *fleet) setOthersInFlight(hashes []uint32, others *peering.LoadSums, now time.Duration) {
 	if len(hashes) == 0 {
@@ -285,63 +248,6 @@
 	f.updatePlacement(now)
 }
 
-// closedServers counts the servers that are reported closed.
-type closedServers struct {
-	// byService counts them by service, of total servers. unknown counts those that this entry does not
-	// know, such as previous registrations of engines.
-	byService, total map[string]int
-	unknown          int
-}
-
-// countClosed counts the servers that are reported closed. The caller holds the lock.
-func (f *fleet) countClosed(impairments map[string]experts.Impairment) closedServers {
-	c := closedServers{byService: make(map[string]int), total: make(map[string]int)}
-	for id, impairment := range impairments {
-		switch s := f.servers[id]; {
-		case !impairment.Closed:
-		case s == nil:
-			c.unknown++
-		default:
-			c.byService[s.Service]++
-		}
-	}
-	for _, s := range f.servers {
-		c.total[s.Service]++
-	}
-	return c
-}
-
-const (
-	// maxUnreportedTime is how long after an engine was first known here the coordinator may not have
-	// reported on it: the time between two reads of the registrations, and a poll of the engines.
-	maxUnreportedTime = time.Second
-	// mostlyClosedRatio is the fraction of a service's servers from which on, if they are reported
-	// closed, also those count as closed that this process has known from its start.
-	mostlyClosedRatio = 2.0 / 3
-)
-
-// isRank reports whether a server is an engine of a lock-step group.
-func (s *server) isRank() bool { return s.service.Engine != nil && s.service.Engine.Experts > 0 }
-
-// isJoiningClosedGroup reports whether a server is an engine of a lock-step group that has registered
-// so recently that the coordinator may not know it, while others of its service are closed.
-//
-// After a power loss engines register one after the other, under new IDs, and join a group that forms
-// again. If such an engine counted as open, this entry would take it for all that the service has
-// left, and refuse what it expects to wait too long for it. An entry that has just started knows
-// which engines are new only if most of the others are closed: the service may have several groups,
-// of which one is out.
-func (s *server) isJoiningClosedGroup(closed closedServers, now time.Duration) bool {
-	if !s.isRank() || now-s.joinedAt >= maxUnreportedTime {
-		return false
-	}
-	n := closed.byService[s.Service] + closed.unknown
-	if s.isFirst {
-		return float64(n) > mostlyClosedRatio*float64(closed.total[s.Service])
-	}
-	return n > 0
-}
-
 // setImpairment sets how slow a server is, and whether it is closed. The caller holds the lock.
 func (f *fleet) setImpairment(id string, s *server, impairment experts.Impairment) {
 	oldLimit, wasClosed := s.inFlightLimit(), s.closed
