Log the rate limit that a backend server states in its answers

Nothing in an entry's logs said that it had read a limit, so that logs could not tell an entry that does not read it from entries that each keep to it by themselves. The limit is decoded at the boundary, and an entry logs when a server begins to state one, changes it, and states none any more. No decision depends on it yet. Negative and unreadable values count as no limit.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -132,6 +132,9 @@
 	a.watchdog.noteProgress()
 	a.resp.Body = progressBody{a.resp.Body, a.watchdog}
 	a.answer = platform.ReadAnswer(a.resp.StatusCode, a.resp.Header)
+	if !a.answer.WrongServer {
+		a.g.fleet.recordRateLimit(a.server.ID, a.answer.RateLimit)
+	}
 	if a.answer.NotRun {
 		return a.discardRefusal()
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -121,6 +121,8 @@
 	closed   bool
 	// arrivals limits the requests per second; nil for no limit.
 	arrivals *arrivals.Share
+	// rateLimit is the limit of requests per second in the server's last answer; nil for none.
+	rateLimit *float64
 }
 
 func newFleet(l limits, rng *rand.Rand) *fleet {
--- a/test/fakeplatform/server.go
+++ b/test/fakeplatform/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 
 	"github.com/apricothub/apricothub/platform"
@@ -169,6 +170,37 @@
 	return true
 }
 
+// AddHeader returns a Handler whose answers are those of another one with a header added. value returns
+// the header's value for each request; with an empty one the header is left out.
+func AddHeader(handler Handler, name string, value func(ReceivedRequest) string) Handler {
+	return func(s ReceivedRequest, conn net.Conn) bool {
+		if v := value(s); v != "" {
+			conn = &headerConn{Conn: conn, header: name + ": " + v + "\r\n"}
+		}
+		return handler(s, conn)
+	}
+}
+
+// headerConn adds a header line after the status line, which the first Write must contain.
+type headerConn struct {
+	net.Conn
+	header string
+}
+
+// Write implements net.Conn.
+func (c *headerConn) Write(p []byte) (int, error) {
+	header := c.header
+	c.header = ""
+	if header == "" {
+		return c.Conn.Write(p)
+	}
+	statusLine, rest, _ := strings.Cut(string(p), "\r\n")
+	if _, err := io.WriteString(c.Conn, statusLine+"\r\n"+header+rest); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
 // StreamHead returns the status line and headers of a chunked event stream.
 func StreamHead(s ReceivedRequest) string {
 	return "HTTP/1.1 200 OK\r\nAttempt-Id: " + s.Request.Header.Get("Attempt-Id") +
