Keep the requests of all entries to a server within the rate limit that it states

What was seen: a backend server that stated a limit of one request a second got 12 and 13 requests in four seconds; callers noticed nothing.

Cause: entries passed the limit on to callers and read nothing of it. The arrivals at the server did not fall after it had stated the limit (2.8 a second before and after), which rules out a limit kept by each entry alone or learned late.

Change: package decide/throttle divides a stated limit among a few entries, chosen by rendezvous hashing; the others send that server nothing. Entries report limits to each other in heartbeats, at most 16 in one. A server without a token is left out of placement. Where only limited servers are left, a request is queued if the entry's shares are expected to serve it in time, and otherwise refused at once with the time until its turn. A limit ends with an answer, to a request sent since, that states none, or with a new start of the server.

--- a/coord/peering/peering.go
+++ b/coord/peering/peering.go
@@ -206,30 +206,32 @@
 	return heartbeats
 }
 
-// MaybeLiveCount returns the number of other entries that may be running: the live ones, those that
-// fell silent without announcing that they leave, until they are forgotten, and during startup
-// those that were added and have not had time to answer.
+// MaybeLive returns the IPs of the other entries that may be running, in ascending order: the live
+// ones, those that fell silent without announcing that they leave, until they are forgotten, and during
+// startup those that were added and have not had time to answer.
 //
 // An entry may be frozen or unreachable for a while and continue to send requests, and many entries
 // may start at the same time. If such entries did not count, the others would divide their shares
 // of a server's capacity among themselves, and a server that can take little, such as a cold one,
 // would get more requests than all entries together may send. An entry that announced that it
 // leaves and then falls silent is gone.
-func (t *Table) MaybeLiveCount(now time.Duration) int {
-	n := 0
+func (t *Table) MaybeLive(now time.Duration) []string {
+	var ips []string
 	for _, p := range t.sorted {
-		switch {
-		case t.isLive(p, now):
-			n++
-		case p.lastHeartbeat == nil && now <= t.cfg.StartupGrace:
-			// After StartupGrace a new entry is heard before it sends requests, and the list also
-			// holds VMs that are long gone.
-			n++
-		case p.lastHeartbeat != nil && !p.lastHeartbeat.GetLeaving() && now-p.lastHeard <= t.cfg.ForgetAfter:
-			n++
+		if t.mayBeLive(p, now) {
+			ips = append(ips, p.ip)
 		}
 	}
-	return n
+	return ips
+}
+
+func (t *Table) mayBeLive(p *peer, now time.Duration) bool {
+	if p.lastHeartbeat == nil {
+		// After StartupGrace a new entry is heard before it sends requests, and the list also holds VMs
+		// that are long gone.
+		return now <= t.cfg.StartupGrace
+	}
+	return t.isLive(p, now) || !p.lastHeartbeat.GetLeaving() && now-p.lastHeard <= t.cfg.ForgetAfter
 }
 
 // SelectCoordinator returns the IP of the entry that coordinates, out of this one and the live
--- a/coord/peering/peering_test.go
+++ b/coord/peering/peering_test.go
@@ -144,14 +144,14 @@
 // and one shuts down gracefully. If the frozen one did not count, the others would use its share
 // and too many requests would be sent. If the one that has left still counted, its share would be
 // unused.
-func TestMaybeLiveCountIncludesSilentEntries(t *testing.T) {
+func TestMaybeLiveIncludesSilentEntries(t *testing.T) {
 	table := New("10.0.0.1", Config{})
-	if n := table.MaybeLiveCount(0); n != 0 {
+	if n := len(table.MaybeLive(0)); n != 0 {
 		t.Fatalf("%d others at the start", n)
 	}
 	table.AddPeer("10.0.0.2", 0)
 	table.AddPeer("10.0.0.9", 0)
-	if n := table.MaybeLiveCount(2 * time.Second); n != 2 {
+	if n := len(table.MaybeLive(2 * time.Second)); n != 2 {
 		t.Errorf("%d others may live before they had time to answer, want 2", n)
 	}
 	table.HandleHeartbeat(heartbeat("10.0.0.2", 1, 1), 2*time.Second)
@@ -161,7 +161,7 @@
 	for at, want := range map[time.Duration]int{
 		2001 * msec: 2, 3200 * msec: 2, 3201 * msec: 1, 62 * time.Second: 1, 62*time.Second + msec: 0,
 	} {
-		if n := table.MaybeLiveCount(at); n != want {
+		if n := len(table.MaybeLive(at)); n != want {
 			t.Errorf("%d others may live after %v, want %d", n, at, want)
 		}
 	}
--- a/decide/arrivals/arrivals.go
+++ b/decide/arrivals/arrivals.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/apricothub/apricothub/decide/internal/steady"
 )
 
 // Limit is what a cold backend server can take from all entries together: in any one second, at
@@ -86,8 +88,8 @@
 	}
 	s.limit, s.entries = l, entries
 	perSecond, burst := s.rateAndBurst()
-	s.limiter.SetLimitAt(asTime(now), perSecond)
-	s.limiter.SetBurstAt(asTime(now), burst)
+	s.limiter.SetLimitAt(steady.Time(now), perSecond)
+	s.limiter.SetBurstAt(steady.Time(now), burst)
 }
 
 // Tick tells the share that the process is running. It must be called many times a second.
@@ -111,7 +113,7 @@
 	if s.startsAt > 0 {
 		s.start(now)
 	}
-	return s.limiter.AllowN(asTime(now), 1)
+	return s.limiter.AllowN(steady.Time(now), 1)
 }
 
 // reset discards the saved tokens of a share, and delays the start of one of less than one request
@@ -126,7 +128,7 @@
 // its own time for each server, spread over the time in which a share accrues one token. Requests
 // then reach the server at its rate, and each entry soon has a server that it may send to.
 func (s *Share) reset(now, notBefore time.Duration) {
-	at := asTime(now)
+	at := steady.Time(now)
 	s.limiter.AllowN(at, int(s.limiter.TokensAt(at)))
 	perSecond := float64(s.limiter.Limit())
 	if perSecond <= 0 || perSecond >= 1 {
@@ -143,11 +145,6 @@
 	s.startsAt = 0
 	limit, burst := s.rateAndBurst()
 	s.limiter = rate.NewLimiter(limit, burst)
-	at := asTime(now)
+	at := steady.Time(now)
 	s.limiter.AllowN(at, burst-1)
 }
-
-// epoch is the base by which asTime converts times since the process start for the rate limiter.
-var epoch = time.Unix(0, 0)
-
-func asTime(now time.Duration) time.Time { return epoch.Add(now) }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -124,6 +124,7 @@
 		return unsent
 	}
 	a.conn = conn
+	sentAt := clock.Now()
 	a.resp, err = conn.RoundTrip(ctx, a.outgoingRequest(), a.matches)
 	if err != nil {
 		return a.breakOff(err)
@@ -133,7 +134,7 @@
 	a.resp.Body = progressBody{a.resp.Body, a.watchdog}
 	a.answer = platform.ReadAnswer(a.resp.StatusCode, a.resp.Header)
 	if !a.answer.WrongServer {
-		a.g.fleet.recordRateLimit(a.server.ID, a.answer.RateLimit)
+		a.g.fleet.recordRateLimit(a.server.Server, a.answer.RateLimit, sentAt, clock.Now())
 	}
 	if a.answer.NotRun {
 		return a.discardRefusal()
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -145,6 +145,7 @@
 		return false
 	}
 	c.g.fleet.setOthersInFlight(c.peerLoads.Set(b.GetIp(), peering.InFlight(b)), c.peerLoads, now)
+	c.g.fleet.recordRateLimitReports(b.GetRateLimits(), now)
 	return peering.IsUrgent(old, b) || c.isAhead(b) && c.mayRequestPeerState(now)
 }
 
@@ -252,7 +253,9 @@
 	live := c.peers.Live(now)
 	c.logPeerChanges(live)
 	c.registry.SetStoreReachable(!c.isStoreUnreachable(live, now), now)
-	counts := entryCounts{live: len(live) + 1, maybeLive: c.peers.MaybeLiveCount(now) + 1}
+	maybeLive := append(c.peers.MaybeLive(now), c.g.settings.IP)
+	c.g.fleet.setEntries(maybeLive)
+	counts := entryCounts{live: len(live) + 1, maybeLive: len(maybeLive)}
 	c.changed = c.changed || counts != c.entryCounts
 	if c.changed && c.servingTable(now) != nil {
 		c.changed = false
@@ -372,7 +375,7 @@
 		OperatorsNext: c.operators.NextOffset(), ServersNext: c.servers.NextOffset(), Fence: c.g.experts.Fence(),
 		OperatorsAgeMs: -1, ServersAgeMs: -1,
 		OperatorsChanged: c.operatorsChangedAt, ServersChanged: c.serversChangedAt,
-		InFlight: c.g.fleet.inFlight(),
+		InFlight: c.g.fleet.inFlight(), RateLimits: c.g.fleet.rateLimitReports(now),
 	}
 	if c.g.readsStore.Load() {
 		b.OperatorsAgeMs = (now - c.operatorsAt).Milliseconds()
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -35,6 +35,8 @@
 	Own           int    `json:"own"`
 	Others        int    `json:"others"`
 	WorkMs        int64  `json:"work_ms"`
+	// RateLimit is the limit in requests per second that the server states; nil for none.
+	RateLimit *float64 `json:"rate_limit,omitempty"`
 }
 
 func (g *Gateway) serveDump(w http.ResponseWriter, _ *http.Request) {
@@ -59,10 +61,14 @@
 	defer f.mu.Unlock()
 	var servers []serverDump
 	for id, s := range f.servers {
-		servers = append(servers, serverDump{
+		d := serverDump{
 			ID: id, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain,
 			Draining: s.Draining, Ejected: f.ejector.Ejected(id, now), Own: s.ownInFlight, Others: s.othersInFlight, WorkMs: s.workTime.Milliseconds(),
-		})
+		}
+		if rate, limited := f.rateLimits.Rate(s.hash); limited {
+			d.RateLimit = &rate
+		}
+		servers = append(servers, d)
 	}
 	slices.SortFunc(servers, func(a, b serverDump) int { return strings.Compare(a.ID, b.ID) })
 	return servers
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/apricothub/apricothub/decide/eject"
 	"github.com/apricothub/apricothub/decide/place"
 	"github.com/apricothub/apricothub/decide/silence"
+	"github.com/apricothub/apricothub/decide/throttle"
 	"github.com/apricothub/apricothub/internal/experts"
 	"github.com/apricothub/apricothub/internal/routing"
 )
@@ -61,6 +62,10 @@
 	// removedAt is when servers were removed that may return; times are since the process started.
 	removedAt map[string]time.Duration
 	budgets   map[string]*place.RetryBudget
+	// rateLimits are the limits that servers state in their answers. throttled are the services with
+	// such a server.
+	rateLimits *throttle.Limits
+	throttled  map[string]throttledService
 	// entries is the number of live entries, maybeLive that of entries that may still be running.
 	// Both include this one.
 	entries, maybeLive int
@@ -121,11 +126,10 @@
 	closed   bool
 	// arrivals limits the requests per second; nil for no limit.
 	arrivals *arrivals.Share
-	// rateLimit is the limit of requests per second in the server's last answer; nil for none.
-	rateLimit *float64
 }
 
-func newFleet(l limits, rng *rand.Rand) *fleet {
+// newFleet returns the fleet of the entry with IP self. It takes over the random source.
+func newFleet(self string, l limits, rng *rand.Rand) *fleet {
 	return &fleet{
 		limits: l,
 		rng:    rng,
@@ -137,6 +141,7 @@
 		servers:         make(map[string]*server),
 		removedAt:       make(map[string]time.Duration),
 		budgets:         make(map[string]*place.RetryBudget),
+		rateLimits:      throttle.New(self, rng),
 		entries:         1,
 		maybeLive:       1,
 		admitter:        admit.New(admit.Config{MaxQueue: maxQueued, MaxWait: maxQueueWait, MaxRetryAfter: maxRetryAfter, BacklogStartsTogether: true}),
@@ -193,6 +198,7 @@
 		}
 		if s.StartedAtUnixMs != r.StartedAtUnixMs {
 			s.workTime, s.replacedUntil = 0, 0
+			f.rateLimits.Reset(s.hash, now)
 		}
 		s.Server = r.Server
 		s.service = service
@@ -216,6 +222,7 @@
 	known := func(id string) bool { return f.servers[id] != nil }
 	f.ejector.Retain(known)
 	f.silenceDetector.Retain(known)
+	f.rateLimits.Retain(func(hash uint32) bool { return f.byHash[hash] != nil }, now)
 	f.updatePlacement(now)
 }
 
@@ -292,6 +299,8 @@
 			hasFast[s.Service] = true
 		}
 	}
+	f.throttled = make(map[string]throttledService)
+	hasRateLimits := f.rateLimits.Any()
 	for id, s := range f.servers {
 		if s.arrivals != nil {
 			s.arrivals.Tick(now)
@@ -299,15 +308,24 @@
 		f.reportLoad(s, now)
 		// When all servers of a service fail, the cause lies elsewhere, and no server is worse than
 		// the others.
-		f.table.SetSuspect(id, s.closed || now < s.replacedUntil || s.isTooSlow(hasFast) || f.refusing[s.Service] || f.isUnavailable(id, now) && unavailable[s.Service] < total[s.Service])
+		isSuspect := s.closed || now < s.replacedUntil || s.isTooSlow(hasFast) || f.refusing[s.Service] ||
+			f.isUnavailable(id, now) && unavailable[s.Service] < total[s.Service]
+		f.table.SetSuspect(id, isSuspect || f.isThrottled(s, now))
+		if hasRateLimits && !isSuspect && !s.isLeaving {
+			f.countThrottled(s)
+		}
 	}
 	f.updateCapacity(now)
 }
 
 // reportLoad passes a server's load to the placement table. The caller holds the lock.
 func (f *fleet) reportLoad(s *server, now time.Duration) {
+	limit, fullLimit := s.inFlightLimit(), s.Concurrency
+	if slots, limited := f.throttledSlots(s); limited && slots < limit {
+		limit, fullLimit = slots, slots
+	}
 	f.table.Report(s.ID, now, place.Report{
-		Limit: s.inFlightLimit(), FullLimit: s.Concurrency, Running: s.ownInFlight + s.othersInFlight, WorkTime: s.workTime,
+		Limit: limit, FullLimit: fullLimit, Running: s.ownInFlight + s.othersInFlight, WorkTime: s.workTime,
 	})
 }
 
@@ -346,11 +364,16 @@
 			return placement{}, code
 		}
 		s := f.servers[id]
+		if f.isThrottled(s, now) {
+			f.table.SetSuspect(id, true)
+			continue
+		}
 		if s.arrivals != nil && !s.arrivals.Allow(now) {
 			avoid = append(avoid, id)
 			skippedCold = true
 			continue
 		}
+		f.rateLimits.Allow(s.hash, now)
 		s.ownInFlight++
 		f.table.Started(id, now)
 		return placement{Server: s.Server, inFlight: s.ownInFlight + s.othersInFlight, limit: s.inFlightLimit()}, api.ResultCode_OK
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -54,7 +54,7 @@
 	if len(seed) > 0 {
 		rng = rand.New(rand.NewPCG(seed[0], 1))
 	}
-	f := newFleet(limits{coldMaxRatio: 1.5, coldSlack: 5, retryRatio: 0.2, retryReserve: 92}, rng)
+	f := newFleet("10.0.1.0", limits{coldMaxRatio: 1.5, coldSlack: 5, retryRatio: 0.2, retryReserve: 92}, rng)
 	f.setServers(registrations(n, concurrency), nil, serviceTable(coldRate), entryCounts{live, live}, 0)
 	return f
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,7 @@
 	g := &Gateway{
 		settings: s, logger: logger, incarnation: rand.Uint64(),
 		store: platform.NewStore(s.Store.Address, countingTransport{transport, counters}),
-		fleet: newFleet(limits{
+		fleet: newFleet(s.IP, limits{
 			coldMaxRatio: s.Bounds.ColdMaxRatio, coldSlack: s.Bounds.ColdSlack,
 			retryRatio: s.Bounds.RetryRatio, retryReserve: s.Bounds.RetryReserve,
 		}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -197,6 +197,11 @@
 	if deadline == 0 {
 		deadline = now + noDeadline
 	}
+	maxWait := queueWait(t.route, deadline-now)
+	if err := f.refuseThrottled(t.service, maxWait, now); err != nil {
+		f.mu.Unlock()
+		return 0, placement{}, err
+	}
 	q := &queuedRequest{request: pickRequest{service: t.service, timeLeft: timeLeft(t.deadline, now)}, admitted: make(chan admission, 1)}
 	d := f.admitter.Admit(now, admit.Request{
 		ID: id, Customer: t.team, Offer: offer(t.service), Deadline: deadline, Priority: -t.priority,
@@ -211,7 +216,7 @@
 		f.placeQueued(id, q, now)
 	}
 	f.mu.Unlock()
-	return f.awaitAdmission(ctx, id, q, queueWait(t.route, deadline-now))
+	return f.awaitAdmission(ctx, id, q, maxWait)
 }
 
 // queueWait returns how long a request of a route may be queued, given the time until its deadline.
