Let servers of the soak state rate limits

Plain backend servers of the site soak now limit their requests at random moments, while all other faults go on. After the faults a server states a limit, a gateway is killed and starts again, and the server may get no more than its limit allows in any four seconds.

--- a/test/site_soak_test.go
+++ b/test/site_soak_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -58,6 +59,7 @@
 	// and the store.
 	serverLinks, storeLinks []*harness.Forwarder
 	pushes                  *pushLedger
+	statements              *serverStatements
 	// arrivals holds the arrival times of each backend server that is treated as cold, by its ID.
 	arrivals  map[string]*arrivalTimes
 	startedAt time.Time
@@ -217,7 +219,8 @@
 	t.Helper()
 	s := &siteSoak{
 		seed: seed, pushes: &pushLedger{runs: make(map[string]int), rng: rand.New(rand.NewPCG(seed, 1))},
-		arrivals: make(map[string]*arrivalTimes), startedAt: time.Now(), stop: make(chan struct{}),
+		statements: newServerStatements(),
+		arrivals:   make(map[string]*arrivalTimes), startedAt: time.Now(), stop: make(chan struct{}),
 		outcomes: make(map[string]outcome), attemptIDs: make(map[string][]string), faultCounts: make(map[string]int),
 		history: &history.History{},
 	}
@@ -258,12 +261,6 @@
 // portEngineLink is the port on the engine's VM at which the link to the engine listens.
 const portEngineLink = "9001"
 
-// answer is the handler of a plain backend server.
-func (s *siteSoak) answer(seen fakeplatform.ReceivedRequest, conn net.Conn) bool {
-	s.arrivals[seen.Request.Header.Get("Target-Instance")].record(time.Since(s.startedAt))
-	return s.pushes.answer(seen, conn)
-}
-
 // configure publishes the next configuration.
 func (s *siteSoak) configure() {
 	s.mu.Lock()
@@ -452,8 +449,9 @@
 
 // injectFor injects one fault after another for a duration.
 func (b *faultInjector) injectFor(duration time.Duration) {
+	all := slices.Concat(siteFaults, statementFaults)
 	for end := time.Now().Add(duration); time.Now().Before(end); {
-		fault := siteFaults[b.rng.IntN(len(siteFaults))]
+		fault := all[b.rng.IntN(len(all))]
 		b.mu.Lock()
 		b.faultCounts[fault.name]++
 		b.mu.Unlock()
@@ -583,6 +581,7 @@
 	wg.Wait()
 	s.waitForService()
 	s.checkStopAndDomainOut()
+	s.checkRateLimit()
 	close(s.stop)
 	s.callers.Wait()
 	s.check(stalls.finish())
