Log the rest that a backend server asks for in an answer

Nothing in an entry's logs told what time a server had asked for with a refusal, so that an entry that does not read it could not be told from one whose check of the group ends the rest. No decision depends on it yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -135,6 +135,7 @@
 	a.answer = platform.ReadAnswer(a.resp.StatusCode, a.resp.Header)
 	if !a.answer.WrongServer {
 		a.g.fleet.recordRateLimit(a.server.Server, a.answer.RateLimit, sentAt, clock.Now())
+		a.g.fleet.recordRest(a.server.Server, a.answer.Rest)
 	}
 	if a.answer.NotRun {
 		return a.discardRefusal()
--- a/internal/logging/keys.go
+++ b/internal/logging/keys.go
@@ -108,6 +108,7 @@
 	{"for_ms", "time for which the server is ejected and gets no requests"},
 	{"pace", "ratio of the time that the server takes for its work to its usual time, as it reported"},
 	{"closed", "whether the server takes no requests because its group is broken"},
+	{"rest_ms", "time for which the server wants no further requests from this entry"},
 	{"rate_limit", "number of requests per second that the server takes from all entries together, as it states in its answers"},
 	{"limit", "new maximum number of requests in flight at the server"},
 	{"open", "whether the service takes requests again"},
