Give backend servers the rest that they ask for with a refusal

What was seen: engines that refused every request with 503 and Retry-After: 3 got three to five requests from the same entry within these 3 s, two allowed. Callers lost the attempts of their route there, and a fifth of the streams was refused while eight of twelve engines served.

Entries read nothing of the time; a refusal left a server out for 250 ms. A server that refuses everything is empty, so that placement prefers it. The check of the group did not end a rest, as there was none, but each refusal kept requests from all engines of the service for 10 ms.

Change: package decide/rest, a circuit breaker whose open time the server states, for 503 and 429 alike. One request is the trial after it. Such a refusal is no sign of a closed group any more. Where all servers of a service rest, callers are refused at once and told to come back after the first has rested; what is queued is refused as soon as all servers have asked for more than its wait. A server that starts anew is not bound by its predecessor.

Measured: TestAServerThatAsksForRestGetsIt (503, 429), rest of 2 s: 5 to 8 requests in a rest before, now 6 to 8 refusals at two entries in 6 s, one in each rest. TestCallersOfRestingServersAreRefusedAtOnce: the longest refusal took 688 ms, 20 requests reached three servers in 6 s.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -52,6 +52,8 @@
 	outcome attemptOutcome
 	// next is the server that a moved request goes to.
 	next placement
+	// asksForRest means that the server has refused the request and asks for rest.
+	asksForRest bool
 	// err is why the attempt failed, for the log.
 	err error
 }
@@ -84,7 +86,7 @@
 	}
 	g.fleet.endAttempt(s.ID, a.serverOutcome, clock.Now()-began, clock.Now())
 	if next == nil {
-		return attemptResult{outcome: outcome, err: a.err}
+		return attemptResult{outcome: outcome, err: a.err, asksForRest: a.answer.Rest > 0}
 	}
 	if outcome != moved {
 		g.fleet.endAttempt(next.ID, outcomeUnknown, 0, clock.Now())
@@ -134,8 +136,7 @@
 	a.resp.Body = progressBody{a.resp.Body, a.watchdog}
 	a.answer = platform.ReadAnswer(a.resp.StatusCode, a.resp.Header)
 	if !a.answer.WrongServer {
-		a.g.fleet.recordRateLimit(a.server.Server, a.answer.RateLimit, sentAt, clock.Now())
-		a.g.fleet.recordRest(a.server.Server, a.answer.Rest)
+		a.g.fleet.recordStatements(a.server.Server, a.answer, sentAt, clock.Now())
 	}
 	if a.answer.NotRun {
 		return a.discardRefusal()
--- a/internal/gateway/fate.go
+++ b/internal/gateway/fate.go
@@ -37,6 +37,7 @@
 		return
 	}
 	s.ownInFlight = max(s.ownInFlight-1, 0)
+	f.resting.RecordEnd(id)
 	switch outcome {
 	case outcomeServed:
 		f.ejector.RecordSuccess(id)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/apricothub/apricothub/decide/arrivals"
 	"github.com/apricothub/apricothub/decide/eject"
 	"github.com/apricothub/apricothub/decide/place"
+	"github.com/apricothub/apricothub/decide/rest"
 	"github.com/apricothub/apricothub/decide/silence"
 	"github.com/apricothub/apricothub/decide/throttle"
 	"github.com/apricothub/apricothub/internal/experts"
@@ -62,10 +63,11 @@
 	// removedAt is when servers were removed that may return; times are since the process started.
 	removedAt map[string]time.Duration
 	budgets   map[string]*place.RetryBudget
-	// rateLimits are the limits that servers state in their answers. throttled are the services with
-	// such a server.
-	rateLimits *throttle.Limits
-	throttled  map[string]throttledService
+	// rateLimits are the limits that servers state in their answers, resting the servers that ask for
+	// rest. pausedServices are the services, if there is such a server.
+	rateLimits     *throttle.Limits
+	resting        *rest.Tracker
+	pausedServices map[string]pausedService
 	// entries is the number of live entries, maybeLive that of entries that may still be running.
 	// Both include this one.
 	entries, maybeLive int
@@ -142,6 +144,7 @@
 		removedAt:       make(map[string]time.Duration),
 		budgets:         make(map[string]*place.RetryBudget),
 		rateLimits:      throttle.New(self, rng),
+		resting:         rest.New(),
 		entries:         1,
 		maybeLive:       1,
 		admitter:        admit.New(admit.Config{MaxQueue: maxQueued, MaxWait: maxQueueWait, MaxRetryAfter: maxRetryAfter, BacklogStartsTogether: true}),
@@ -199,6 +202,7 @@
 		if s.StartedAtUnixMs != r.StartedAtUnixMs {
 			s.workTime, s.replacedUntil = 0, 0
 			f.rateLimits.Reset(s.hash, now)
+			f.resting.Reset(s.ID)
 		}
 		s.Server = r.Server
 		s.service = service
@@ -222,6 +226,7 @@
 	known := func(id string) bool { return f.servers[id] != nil }
 	f.ejector.Retain(known)
 	f.silenceDetector.Retain(known)
+	f.resting.Retain(known, now)
 	f.rateLimits.Retain(func(hash uint32) bool { return f.byHash[hash] != nil }, now)
 	f.updatePlacement(now)
 }
@@ -299,8 +304,8 @@
 			hasFast[s.Service] = true
 		}
 	}
-	f.throttled = make(map[string]throttledService)
-	hasRateLimits := f.rateLimits.Any()
+	f.pausedServices = make(map[string]pausedService)
+	hasPaused := f.rateLimits.Any() || f.resting.Any()
 	for id, s := range f.servers {
 		if s.arrivals != nil {
 			s.arrivals.Tick(now)
@@ -310,9 +315,9 @@
 		// the others.
 		isSuspect := s.closed || now < s.replacedUntil || s.isTooSlow(hasFast) || f.refusing[s.Service] ||
 			f.isUnavailable(id, now) && unavailable[s.Service] < total[s.Service]
-		f.table.SetSuspect(id, isSuspect || f.isThrottled(s, now))
-		if hasRateLimits && !isSuspect && !s.isLeaving {
-			f.countThrottled(s)
+		f.table.SetSuspect(id, isSuspect || f.isPaused(s, now))
+		if hasPaused && !isSuspect && !s.isLeaving {
+			f.countPaused(s, now)
 		}
 	}
 	f.updateCapacity(now)
@@ -364,7 +369,7 @@
 			return placement{}, code
 		}
 		s := f.servers[id]
-		if f.isThrottled(s, now) {
+		if f.isPaused(s, now) {
 			f.table.SetSuspect(id, true)
 			continue
 		}
@@ -374,6 +379,7 @@
 			continue
 		}
 		f.rateLimits.Allow(s.hash, now)
+		f.resting.RecordSent(id, now)
 		s.ownInFlight++
 		f.table.Started(id, now)
 		return placement{Server: s.Server, inFlight: s.ownInFlight + s.othersInFlight, limit: s.inFlightLimit()}, api.ResultCode_OK
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -199,7 +199,8 @@
 			return
 		case unsent:
 		case notRun:
-			if g.fleet.markRefusing(s.ID) {
+			// A server that asks for rest speaks of itself, not of its group.
+			if !attempted.asksForRest && g.fleet.markRefusing(s.ID) {
 				go g.watchRefusing(s.Server)
 			}
 		case moved:
@@ -273,6 +274,9 @@
 		if now-began > maxWait {
 			return placement{}, result.New(code)
 		}
+		if refused := g.fleet.refuseRetry(t.service, maxWait-(now-began), now); refused != nil {
+			return placement{}, refused
+		}
 		select {
 		case <-ctx.Done():
 			return placement{}, result.New(code)
@@ -377,15 +381,18 @@
 // told the same time, they would return at the same moment and be refused again. So each is told a
 // random time within the span in which slots become free.
 func (g *Gateway) retryAfter(t *task, err *result.Error) time.Duration {
-	longest := maxRetryAfter
+	least, longest := minRetryAfter, maxRetryAfter
 	if err.RetryAfter > 0 {
 		longest = err.RetryAfter
 	}
+	if err.NotBefore > 0 {
+		least, longest = err.NotBefore, err.NotBefore+maxRetryAfter
+	}
 	if t.callerDeadline > 0 {
 		longest = min(longest, time.Duration(maxRetryAfterRatio*float64(timeLeft(t.callerDeadline, clock.Now()))))
 	}
-	if longest <= minRetryAfter {
+	if longest <= least {
 		return longest
 	}
-	return minRetryAfter + rand.N(longest-minRetryAfter)
+	return least + rand.N(longest-least)
 }
--- a/internal/gateway/ratelimits.go
+++ b/internal/gateway/ratelimits.go
@@ -7,9 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/apricothub/apricothub/api"
-	"github.com/apricothub/apricothub/coord/registry"
 	"github.com/apricothub/apricothub/decide/throttle"
-	"github.com/apricothub/apricothub/internal/result"
 )
 
 // setEntries sets the IPs of the entries that may be running, among which rate limits are divided.
@@ -19,21 +17,6 @@
 	f.rateLimits.SetEntries(ips)
 }
 
-// recordRateLimit records the limit of requests per second that a server states in an answer, nil for
-// none. sentAt is when the request was sent.
-func (f *fleet) recordRateLimit(answered registry.Server, stated *float64, sentAt, now time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := f.servers[answered.ID]
-	if s == nil || s.StartedAtUnixMs != answered.StartedAtUnixMs {
-		return
-	}
-	if f.rateLimits.RecordAnswer(s.hash, stated, sentAt, now) {
-		f.logRateLimit(s)
-		f.updatePlacement(now)
-	}
-}
-
 // recordRateLimitReports records the limits that another entry reports.
 func (f *fleet) recordRateLimitReports(reports []*api.ServerRateLimit, now time.Duration) {
 	if len(reports) == 0 {
@@ -98,55 +81,3 @@
 	}
 	return 1 + int(math.Ceil(min(rate*s.workTime.Seconds(), float64(s.Concurrency)))), true
 }
-
-// throttledService holds the servers of a service that are usable but for their rate limit.
-type throttledService struct {
-	// limited are those with a limit, unlimited is the number of those without one.
-	limited   []*server
-	unlimited int
-}
-
-// countThrottled counts a usable server towards its service. The caller holds the lock.
-func (f *fleet) countThrottled(s *server) {
-	t := f.throttled[s.Service]
-	if _, limited := f.rateLimits.Rate(s.hash); limited {
-		t.limited = append(t.limited, s)
-	} else {
-		t.unlimited++
-	}
-	f.throttled[s.Service] = t
-}
-
-// refuseThrottled returns a refusal if only servers with a rate limit are left to a service, and a
-// request is not expected to be sent within maxWait; nil otherwise. The caller holds the lock.
-func (f *fleet) refuseThrottled(service string, maxWait, now time.Duration) *result.Error {
-	t := f.throttled[service]
-	if len(t.limited) == 0 || t.unlimited > 0 {
-		return nil
-	}
-	// perSecond is the sum of this entry's shares in requests per second, next the time until the first
-	// of them allows a request.
-	perSecond, next := 0.0, time.Duration(math.MaxInt64)
-	for _, s := range t.limited {
-		if share, wait := f.rateLimits.Share(s.hash, now); share > 0 {
-			perSecond += share
-			next = min(next, wait)
-		}
-	}
-	refused := result.New(api.ResultCode_SATURATED)
-	if perSecond == 0 {
-		// Other entries have shares. The caller may find one of them when it comes back.
-		return refused
-	}
-	queued := f.queued[service]
-	if next == 0 && queued == 0 {
-		return nil
-	}
-	// One more than those that are queued, since a more urgent request may still come.
-	wait := next + time.Duration(float64(queued+1)/perSecond*float64(time.Second))
-	if wait <= maxWait {
-		return nil
-	}
-	refused.RetryAfter = wait
-	return refused
-}
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -40,6 +40,8 @@
 // queuedRequest is a request that waits for admission.
 type queuedRequest struct {
 	request pickRequest
+	// waitUntil is when its wait ends at the latest.
+	waitUntil time.Duration
 	// admitted receives the outcome. It is buffered, so the sender never blocks.
 	admitted chan admission
 }
@@ -198,11 +200,14 @@
 		deadline = now + noDeadline
 	}
 	maxWait := queueWait(t.route, deadline-now)
-	if err := f.refuseThrottled(t.service, maxWait, now); err != nil {
+	if err := f.refusePaused(t.service, maxWait, now); err != nil {
 		f.mu.Unlock()
 		return 0, placement{}, err
 	}
-	q := &queuedRequest{request: pickRequest{service: t.service, timeLeft: timeLeft(t.deadline, now)}, admitted: make(chan admission, 1)}
+	q := &queuedRequest{
+		request:   pickRequest{service: t.service, timeLeft: timeLeft(t.deadline, now)},
+		waitUntil: now + maxWait, admitted: make(chan admission, 1),
+	}
 	d := f.admitter.Admit(now, admit.Request{
 		ID: id, Customer: t.team, Offer: offer(t.service), Deadline: deadline, Priority: -t.priority,
 	})
@@ -259,6 +264,13 @@
 	return f.pick(req, now)
 }
 
+// refuseRetry is refusePaused for a request that is already admitted.
+func (f *fleet) refuseRetry(service string, maxWait, now time.Duration) *result.Error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refusePaused(service, maxWait, now)
+}
+
 // endRequest ends an admitted request and frees its slot. took is how long it was served; zero
 // keeps it out of the admitter's moving average of work times.
 func (f *fleet) endRequest(id admissionID, service string, took, now time.Duration) {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -94,6 +94,8 @@
 	Text string
 	// RetryAfter is the time to wait before a retry; 0 if none is given.
 	RetryAfter time.Duration
+	// NotBefore is the time before which a retry cannot succeed; 0 if unknown.
+	NotBefore time.Duration
 }
 
 // New returns an error with the code's default Ran. The texts are joined; without any, the text is
