--- a/test/fakeplatform/server.go
+++ b/test/fakeplatform/server.go
@@ -45,6 +45,8 @@
 	// MapAddress returns the address to register in place of the listener's, such as that of a
 	// forwarder. Nil registers the listener's address.
 	MapAddress func(address string) string
+	// Restarts is how often the server has started anew under its ID.
+	Restarts int
 	// DiscardRequests keeps no record of the requests, to save memory in long runs.
 	DiscardRequests bool
 }
@@ -84,10 +86,16 @@
 	s.registerAs("app", f.registration.ID, f.address, f.registration, state)
 }
 
+// RegisterRestarted registers a backend server that has started anew under its ID.
+func (s *Store) RegisterRestarted(f *Server) {
+	f.registration.Restarts++
+	s.Register(f, "ready")
+}
+
 func (s *Store) registerAs(service, id, address string, registration Registration, state string) {
 	s.Put(platform.TopicServers, id, fmt.Sprintf(
-		`{"service":"%s","address":"%s","zone":"%s","concurrency":%d,"state":"%s","cold-remaining-ms":0,"sequence":1,"born":1}`,
-		service, address, registration.FailureDomain, registration.Concurrency, state))
+		`{"service":"%s","address":"%s","zone":"%s","concurrency":%d,"state":"%s","cold-remaining-ms":0,"sequence":1,"born":%d}`,
+		service, address, registration.FailureDomain, registration.Concurrency, state, 1+registration.Restarts))
 }
 
 func (f *Server) handle(conn net.Conn) {
