Send nothing new to a server that says in its answers that it leaves

What was seen: no caller noticed; found when looking for the cause of the rest that was not kept elsewhere. Entries knew of a leaving server by its registration alone, which is read some time after it was written, and not at all while the store is away.

The entry that reads it sends nothing more to the server at once; the registry counts the server as draining, whatever its registration says, until it starts anew, and heartbeats tell the other entries, also those that have just started, while the registration does not say so. At most 16 are named in one heartbeat.

A server that has started anew gets requests again.

--- a/coord/registry/registry.go
+++ b/coord/registry/registry.go
@@ -46,9 +46,23 @@
 // server is healthy: servers take about two seconds to register again.
 const ReregisterGrace = 2 * time.Second
 
+// rememberLeaving is how long it is remembered that a server leaves after its registration is gone: it
+// may register once more, and other entries may still report it.
+const rememberLeaving = time.Minute
+
+// Start identifies one start of a server.
+type Start struct {
+	ID string
+	// StartedAtUnixMs is the field of that name of Server.
+	StartedAtUnixMs int64
+}
+
 // Registry holds the backend servers that a process knows.
 type Registry struct {
 	registrations map[string]*Registration
+	// leaving are the servers that have said that they leave, with the time at which they were last known
+	// to be registered.
+	leaving map[Start]time.Duration
 	// newestAt is the server with the latest start time at each address.
 	newestAt map[string]*Registration
 	// expiresAt holds the lapsed registrations, with the time at which they are dropped.
@@ -62,7 +76,7 @@
 // New returns an empty registry.
 func New() *Registry {
 	return &Registry{
-		registrations: make(map[string]*Registration), newestAt: make(map[string]*Registration), expiresAt: make(map[string]time.Duration),
+		registrations: make(map[string]*Registration), leaving: make(map[Start]time.Duration), newestAt: make(map[string]*Registration), expiresAt: make(map[string]time.Duration),
 	}
 }
 
@@ -137,8 +151,47 @@
 	r.storeDown = !reachable
 }
 
+// MarkLeaving records that a server has said that it leaves, and reports whether that was unknown. From
+// then on it counts as draining, whatever its registration says, until it starts anew.
+//
+// A server cannot report to a store that is away, and its registration is read some time after it was
+// written.
+func (r *Registry) MarkLeaving(s Start, now time.Duration) bool {
+	_, known := r.leaving[s]
+	if !known {
+		r.leaving[s] = now
+	}
+	return !known
+}
+
+// Leaving returns the registered servers that have said that they leave while their registration does not
+// say so, in no particular order.
+func (r *Registry) Leaving() []Start {
+	var starts []Start
+	for s := range r.leaving {
+		if e := r.registrations[s.ID]; e != nil && e.start() == s && !e.Draining {
+			starts = append(starts, s)
+		}
+	}
+	return starts
+}
+
+func (e *Registration) start() Start { return Start{ID: e.ID, StartedAtUnixMs: e.StartedAtUnixMs} }
+
+// forgetLeaving forgets the servers that left some time ago.
+func (r *Registry) forgetLeaving(now time.Duration) {
+	for s, registeredAt := range r.leaving {
+		if e := r.registrations[s.ID]; e != nil && e.start() == s {
+			r.leaving[s] = now
+		} else if now-registeredAt > rememberLeaving {
+			delete(r.leaving, s)
+		}
+	}
+}
+
 // Expire drops the servers whose time to register again has passed, and returns their IDs.
 func (r *Registry) Expire(now time.Duration) []string {
+	r.forgetLeaving(now)
 	var expired []string
 	for id, expiry := range r.expiresAt {
 		if now >= expiry {
@@ -154,9 +207,14 @@
 func (r *Registry) Registrations() []Registration {
 	registrations := make([]Registration, 0, len(r.registrations))
 	for _, e := range r.registrations {
-		if !r.isReplaced(e) {
-			registrations = append(registrations, *e)
+		if r.isReplaced(e) {
+			continue
+		}
+		registration := *e
+		if _, leaves := r.leaving[e.start()]; leaves {
+			registration.Draining = true
 		}
+		registrations = append(registrations, registration)
 	}
 	return registrations
 }
--- a/coord/registry/registry_test.go
+++ b/coord/registry/registry_test.go
@@ -136,3 +136,41 @@
 		}
 	}
 }
+
+func isDraining(r *Registry, id string) bool {
+	for _, e := range r.Registrations() {
+		if e.ID == id {
+			return e.Draining
+		}
+	}
+	return false
+}
+
+// A server says that it leaves and its registration, read later, says that it is ready. It must get no new
+// requests until it has started anew, also if its registration lapses for a moment.
+func TestAServerThatSaysItLeavesCountsAsDraining(t *testing.T) {
+	r := New()
+	r.Put(Server{ID: "a", StartedAtUnixMs: 1}, 0)
+	if !r.MarkLeaving(Start{"a", 1}, second) || r.MarkLeaving(Start{"a", 1}, second) {
+		t.Error("the news that the server leaves are not reported once")
+	}
+	r.Put(Server{ID: "a", StartedAtUnixMs: 1}, 2*second)
+	if !isDraining(r, "a") || len(r.Leaving()) != 1 {
+		t.Error("the server does not count as leaving")
+	}
+	r.Expire(30 * second)
+	r.Remove("a", 30*second)
+	r.Expire(40 * second)
+	r.Put(Server{ID: "a", StartedAtUnixMs: 1}, 41*second)
+	if !isDraining(r, "a") {
+		t.Error("the server takes requests again after its registration had lapsed")
+	}
+	r.Put(Server{ID: "a", StartedAtUnixMs: 2}, 42*second)
+	if isDraining(r, "a") || len(r.Leaving()) != 0 {
+		t.Error("the restarted server counts as leaving")
+	}
+	r.Expire(42*second + 2*rememberLeaving)
+	if len(r.leaving) != 0 {
+		t.Errorf("%d servers are remembered as leaving", len(r.leaving))
+	}
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -146,6 +147,9 @@
 	}
 	c.g.fleet.setOthersInFlight(c.peerLoads.Set(b.GetIp(), peering.InFlight(b)), c.peerLoads, now)
 	c.g.fleet.recordRateLimitReports(b.GetRateLimits(), now)
+	for _, s := range b.GetLeavingServers() {
+		c.markLeaving(registry.Start{ID: s.GetId(), StartedAtUnixMs: s.GetStartedAtUnixMs()}, now)
+	}
 	return peering.IsUrgent(old, b) || c.isAhead(b) && c.mayRequestPeerState(now)
 }
 
@@ -244,12 +248,25 @@
 	return true
 }
 
+// markLeaving records that a server has said that it leaves, to this entry or another one.
+func (c *control) markLeaving(s registry.Start, now time.Duration) {
+	if !c.registry.MarkLeaving(s, now) {
+		return
+	}
+	c.changed = true
+	_ = level.Info(c.logger).Log("msg", "A backend server leaves, as it has said in an answer.", "server", s.ID)
+}
+
 // reconcile updates what is published, and sends the heartbeats that are due.
 func (c *control) reconcile(now time.Duration) {
 	for _, id := range c.registry.Expire(now) {
 		c.changed = true
 		_ = level.Info(c.logger).Log("msg", "The registration of a backend server has expired.", "server", id)
 	}
+	for _, s := range c.g.fleet.takeNewlyLeaving() {
+		c.markLeaving(s, now)
+		c.heartbeatDue = true
+	}
 	live := c.peers.Live(now)
 	c.logPeerChanges(live)
 	c.registry.SetStoreReachable(!c.isStoreUnreachable(live, now), now)
@@ -357,6 +374,9 @@
 	}
 }
 
+// maxLeavingServers limits the leaving servers that a heartbeat names.
+const maxLeavingServers = 16
+
 // maxOthers limits the entries that a heartbeat names, so that it fits into one datagram.
 const maxOthers = 8
 
@@ -384,6 +404,11 @@
 	for id, pace := range c.g.experts.Impairments() {
 		b.Paces = append(b.Paces, &api.ServerPace{Id: id, Pace: float32(pace.Slowdown), Closed: pace.Closed})
 	}
+	leaving := c.registry.Leaving()
+	rand.Shuffle(len(leaving), func(i, j int) { leaving[i], leaving[j] = leaving[j], leaving[i] })
+	for _, s := range leaving[:min(len(leaving), maxLeavingServers)] {
+		b.LeavingServers = append(b.LeavingServers, &api.LeavingServer{Id: s.ID, StartedAtUnixMs: s.StartedAtUnixMs})
+	}
 	slices.SortFunc(b.Paces, func(p, q *api.ServerPace) int { return strings.Compare(p.GetId(), q.GetId()) })
 	others := make(map[string]bool)
 	for i := range min(len(live), maxOthers) {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -68,6 +68,8 @@
 	rateLimits     *throttle.Limits
 	resting        *rest.Tracker
 	pausedServices map[string]pausedService
+	// newlyLeaving are the servers to be returned by takeNewlyLeaving.
+	newlyLeaving []registry.Start
 	// entries is the number of live entries, maybeLive that of entries that may still be running.
 	// Both include this one.
 	entries, maybeLive int
@@ -117,6 +119,8 @@
 	replacedUntil time.Duration
 	// isLeaving means that it gets no new work, since it drains or its failure domain is out.
 	isLeaving bool
+	// saysLeaving means that it has said in an answer that it leaves.
+	saysLeaving bool
 	// ownInFlight counts this process's requests in flight at the server, othersInFlight those of
 	// the other entries.
 	ownInFlight, othersInFlight int
@@ -200,7 +204,7 @@
 			s = &server{hash: peering.ServerHash(r.ID), joinedAt: now, isFirst: !f.hasServers}
 		}
 		if s.StartedAtUnixMs != r.StartedAtUnixMs {
-			s.workTime, s.replacedUntil = 0, 0
+			s.workTime, s.replacedUntil, s.saysLeaving = 0, 0, false
 			f.rateLimits.Reset(s.hash, now)
 			f.resting.Reset(s.ID)
 		}
@@ -212,7 +216,7 @@
 		f.servers[r.ID] = s
 		f.byHash[s.hash] = s
 		weight := 1.0
-		s.isLeaving = r.Draining || domainsOut[r.FailureDomain]
+		s.isLeaving = r.Draining || s.saysLeaving || domainsOut[r.FailureDomain]
 		if s.isLeaving {
 			weight = 0
 		} else {
@@ -313,7 +317,7 @@
 		f.reportLoad(s, now)
 		// When all servers of a service fail, the cause lies elsewhere, and no server is worse than
 		// the others.
-		isSuspect := s.closed || now < s.replacedUntil || s.isTooSlow(hasFast) || f.refusing[s.Service] ||
+		isSuspect := s.closed || s.saysLeaving || now < s.replacedUntil || s.isTooSlow(hasFast) || f.refusing[s.Service] ||
 			f.isUnavailable(id, now) && unavailable[s.Service] < total[s.Service]
 		f.table.SetSuspect(id, isSuspect || f.isPaused(s, now))
 		if hasPaused && !isSuspect && !s.isLeaving {
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -24,6 +24,11 @@
 	if limitChanged {
 		f.logRateLimit(s)
 	}
+	if a.Leaving && !s.saysLeaving {
+		s.saysLeaving = true
+		f.newlyLeaving = append(f.newlyLeaving, registry.Start{ID: s.ID, StartedAtUnixMs: s.StartedAtUnixMs})
+		f.updatePlacement(now)
+	}
 	wasResting := f.resting.Wait(s.ID, now) > 0
 	beginsToRest := f.resting.RecordAnswer(s.ID, a.Rest, sentAt, now)
 	if limitChanged || wasResting != (f.resting.Wait(s.ID, now) > 0) {
@@ -38,6 +43,15 @@
 	}
 }
 
+// takeNewlyLeaving returns the servers that have said in an answer that they leave, each of them once.
+func (f *fleet) takeNewlyLeaving() []registry.Start {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	leaving := f.newlyLeaving
+	f.newlyLeaving = nil
+	return leaving
+}
+
 // refuseQueued refuses the queued requests of a service whose time in the queue ends before any of its
 // servers has rested. The caller holds the lock.
 func (f *fleet) refuseQueued(service string, now time.Duration) {
--- a/internal/logging/sentences_test.go
+++ b/internal/logging/sentences_test.go
@@ -26,6 +26,7 @@
 	"A newer link replaces an older one.":                                 true,
 	"A registration is new or has changed.":                               true,
 	"The load limit of a backend server has changed.":                     true,
+	"A backend server leaves, as it has said in an answer.":               true,
 	"A backend server asks for rest.":                                     true,
 	"A backend server limits its requests per second.":                    true,
 	"A backend server no longer limits its requests per second.":          true,
