--- a/test/gateway_cold_test.go
+++ b/test/gateway_cold_test.go
@@ -39,6 +39,13 @@
 	a.times = nil
 }
 
+// count returns the number of arrivals.
+func (a *arrivalTimes) count() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.times)
+}
+
 // last returns the time of the last arrival.
 func (a *arrivalTimes) last() time.Duration {
 	a.mu.Lock()
