--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -101,8 +101,9 @@
 	slotStates map[string]slotState
 
 	logger log.Logger
-	// ejections counts how often a server was ejected.
-	ejections metrics.Counter
+	// ejections counts how often a server was ejected, limitsStated how often one began to state a rate
+	// limit or changed it, restsAsked how often one asked for rest.
+	ejections, limitsStated, restsAsked metrics.Counter
 }
 
 // server is one backend server.
@@ -159,6 +160,8 @@
 		outSince:        make(map[string]time.Duration),
 		logger:          log.NewNopLogger(),
 		ejections:       metrics.NilCounter{},
+		limitsStated:    metrics.NilCounter{},
+		restsAsked:      metrics.NilCounter{},
 		refusing:        make(map[string]bool),
 		confirmed:       make(map[string]bool),
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,9 @@
 	registry                               metrics.Registry
 	requests, served, callersGone, retries metrics.Counter
 	late, resumed, ejected                 metrics.Counter
+	// limited counts rate limits that backend servers began to state or changed, rested their requests for
+	// rest.
+	limited, rested metrics.Counter
 	// silentVMs counts VMs of backend servers that went silent, moved the requests moved away from
 	// them.
 	silentVMs, moved                    metrics.Counter
@@ -44,6 +47,8 @@
 		late:          metrics.NewRegisteredCounter("gateway.answers.late", r),
 		resumed:       metrics.NewRegisteredCounter("gateway.streams.resumed", r),
 		ejected:       metrics.NewRegisteredCounter("gateway.servers.left.out", r),
+		limited:       metrics.NewRegisteredCounter("gateway.servers.limited", r),
+		rested:        metrics.NewRegisteredCounter("gateway.servers.rested", r),
 		silentVMs:     metrics.NewRegisteredCounter("gateway.servers.silent", r),
 		moved:         metrics.NewRegisteredCounter("gateway.attempts.moved", r),
 		storeReads:    metrics.NewRegisteredCounter("gateway.store.reads", r),
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -22,6 +22,7 @@
 	}
 	limitChanged := f.rateLimits.RecordAnswer(s.hash, a.RateLimit, sentAt, now)
 	if limitChanged {
+		f.limitsStated.Inc(1)
 		f.logRateLimit(s)
 	}
 	if a.Leaving && !s.saysLeaving {
@@ -35,6 +36,7 @@
 		f.updatePlacement(now)
 	}
 	if beginsToRest {
+		f.restsAsked.Inc(1)
 		_ = level.Info(f.logger).Log("msg", "A backend server asks for rest.", "server", s.ID, "service", s.Service,
 			"failure_domain", s.FailureDomain, "rest_ms", a.Rest.Milliseconds())
 	}
--- a/test/gateway_ratelimit_test.go
+++ b/test/gateway_ratelimit_test.go
@@ -113,8 +113,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			if c.long && testing.Short() {
-				t.Skip("left out of short runs")
+			if c.long {
+				skipIfShort(t)
 			}
 			l := newLimitedServers()
 			s := startSite(t, 4, l.answer)
