Let only answers that a server has served end its rate limit

A refusal without the header, as of an engine whose group is closed, ended the limit at all entries until the next answer stated it again. An answer must now bear the server's signature to end one. TestARefusalDoesNotEndARateLimit fails without the change.

--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -20,7 +20,8 @@
 	if s == nil || s.StartedAtUnixMs != answered.StartedAtUnixMs {
 		return
 	}
-	limitChanged := f.rateLimits.RecordAnswer(s.hash, a.RateLimit, sentAt, now)
+	// Only what the server itself has served shows that it has no limit any more.
+	limitChanged := (a.RateLimit != nil || a.Signed) && f.rateLimits.RecordAnswer(s.hash, a.RateLimit, sentAt, now)
 	if limitChanged {
 		f.limitsStated.Inc(1)
 		f.logRateLimit(s)
--- a/internal/gateway/statements_test.go
+++ b/internal/gateway/statements_test.go
@@ -88,3 +88,19 @@
 		}
 	}
 }
+
+// A server with a rate limit refuses a request without stating the limit, as others answer in its place or
+// its group is closed: the limit must hold until the server serves a request without it.
+func TestARefusalDoesNotEndARateLimit(t *testing.T) {
+	f := newTestFleet(1, 4, 1, 0)
+	rate := 3.0
+	f.state("i-0", platform.Answer{Signed: true, RateLimit: &rate}, 0)
+	f.state("i-0", platform.Answer{NotRun: true}, msec)
+	if !f.rateLimits.Any() {
+		t.Error("a refusal has ended the limit")
+	}
+	f.state("i-0", platform.Answer{Signed: true}, 2*msec)
+	if f.rateLimits.Any() {
+		t.Error("an answer without the limit has not ended it")
+	}
+}
