Use servers that have failed while all others of their service rest

Two servers of three are ejected for failures and the last asks for rest: callers were refused for as long as both lasted. A server that has failed may serve the next request, and is now used, as it is when all servers fail. TestEjectedServersServeWhileTheOthersRest fails without the change (NO_BACKEND).

--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -41,14 +41,15 @@
 // updatePlacement passes what is known of each server to the placement table. The caller holds the
 // lock.
 func (f *fleet) updatePlacement(now time.Duration) {
-	unavailable := make(map[string]int)
+	// unusable counts the servers of each service that are unavailable or rest.
+	unusable := make(map[string]int)
 	total := make(map[string]int)
 	// hasFast holds the services with an available server that is fast enough.
 	hasFast := make(map[string]bool)
 	for id, s := range f.servers {
 		total[s.Service]++
-		if f.isUnavailable(id, now) {
-			unavailable[s.Service]++
+		if f.isUnavailable(id, now) || f.resting.Wait(id, now) > 0 {
+			unusable[s.Service]++
 		} else if s.inFlightLimit() > 0 && !s.closed && !s.isLeaving {
 			hasFast[s.Service] = true
 		}
@@ -61,9 +62,9 @@
 		}
 		f.reportLoad(s, now)
 		// When all servers of a service fail, the cause lies elsewhere, and no server is worse than
-		// the others.
+		// the others. When the others rest, a server that has failed is better than none.
 		isSuspect := s.closed || s.saysLeaving || now < s.replacedUntil || s.isTooSlow(hasFast) || f.refusing[s.Service] ||
-			f.isUnavailable(id, now) && unavailable[s.Service] < total[s.Service]
+			f.isUnavailable(id, now) && unusable[s.Service] < total[s.Service]
 		f.table.SetSuspect(id, isSuspect || f.isPaused(s, now))
 		if hasPaused && !isSuspect && !s.isLeaving {
 			f.countPaused(s, now)
--- a/internal/gateway/statements_test.go
+++ b/internal/gateway/statements_test.go
@@ -104,3 +104,22 @@
 		t.Error("an answer without the limit has not ended it")
 	}
 }
+
+// Two servers of a service are ejected for failures, and the last one asks for rest: callers are refused
+// although the ejected servers might serve them.
+func TestEjectedServersServeWhileTheOthersRest(t *testing.T) {
+	f := newTestFleet(3, 4, 1, 0)
+	f.clearRefusing("app")
+	for now := time.Duration(0); now < 10*msec; now += msec {
+		for _, id := range []string{"i-0", "i-1"} {
+			f.endAttempt(id, outcomeFailed, msec, now)
+		}
+	}
+	if id, _ := f.pickApp(20 * msec); id != "i-2" {
+		t.Fatalf("a request went to %q, want the server that is not ejected", id)
+	}
+	f.state("i-2", platform.Answer{Rest: 3 * time.Second}, 300*msec)
+	if id, code := f.pickApp(310 * msec); code != api.ResultCode_OK || id == "i-2" {
+		t.Errorf("a request went to %q with code %v, want an ejected server", id, code)
+	}
+}
