Report rate limits to other entries with full precision

Heartbeats carried a limit as a 32-bit number. For a limit such as 0.3 an entry took each report, and each answer after it, for a change, logged it, and reported it in turn.

--- a/internal/gateway/ratelimits.go
+++ b/internal/gateway/ratelimits.go
@@ -26,7 +26,7 @@
 	defer f.mu.Unlock()
 	for _, r := range reports {
 		report := throttle.Report{
-			Server: r.GetServer(), Rate: float64(r.GetRate()), Ended: r.GetEnded(),
+			Server: r.GetServer(), Rate: r.GetRate(), Ended: r.GetEnded(),
 			Age: time.Duration(r.GetAgeMs()) * time.Millisecond,
 		}
 		if s := f.byHash[r.GetServer()]; f.rateLimits.RecordReport(report, now) && s != nil {
@@ -42,7 +42,7 @@
 	var reports []*api.ServerRateLimit
 	for _, r := range f.rateLimits.Reports(now) {
 		reports = append(reports, &api.ServerRateLimit{
-			Server: r.Server, Rate: float32(r.Rate), Ended: r.Ended, AgeMs: uint32(r.Age.Milliseconds()),
+			Server: r.Server, Rate: r.Rate, Ended: r.Ended, AgeMs: uint32(r.Age.Milliseconds()),
 		})
 	}
 	return reports
--- a/internal/gateway/statements_test.go
+++ b/internal/gateway/statements_test.go
@@ -123,3 +123,15 @@
 		t.Errorf("a request went to %q with code %v, want an ejected server", id, code)
 	}
 }
+
+// Heartbeats carry a limit with less precision than answers: entries take each report and each answer for a
+// change of the limit, and log it.
+func TestReportsKeepARateLimitExactly(t *testing.T) {
+	f, other := newTestFleet(1, 4, 2, 0, 1), newTestFleet(1, 4, 2, 0, 2)
+	rate := 0.3
+	f.state("i-0", platform.Answer{Signed: true, RateLimit: &rate}, 0)
+	other.recordRateLimitReports(f.rateLimitReports(msec), msec)
+	if got, _ := other.rateLimits.Rate(other.servers["i-0"].hash); got != rate {
+		t.Errorf("the other entry knows the limit as %v", got)
+	}
+}
