Remember a rate limit for a minute after the registration has lapsed

The minute was counted from the last change of any registration. After a quiet time a lapse of the registration made an entry forget the limit at once, and send a server that came back all it had. TestALimitOutlivesALapseOfTheRegistration fails without the change.

--- a/decide/throttle/throttle.go
+++ b/decide/throttle/throttle.go
@@ -68,8 +68,8 @@
 	statedAt time.Duration
 	// newsUntil is until when a change that an answer to this entry has shown is reported first.
 	newsUntil time.Duration
-	// registeredAt is when the server was last known to be registered.
-	registeredAt time.Duration
+	// unregisteredSince is since when the server is not registered; zero while it is.
+	unregisteredSince time.Duration
 	// share is this entry's share, nil for none. It was computed for generation.
 	share      *share
 	generation int
@@ -104,7 +104,7 @@
 		s.newsUntil = now + reportNewsFor
 		return true
 	}
-	s = l.server(key, now)
+	s = l.server(key)
 	changed := s.set(max(*stated, minRate), false, now)
 	if changed {
 		s.newsUntil = now + reportNewsFor
@@ -121,7 +121,7 @@
 	if !r.Ended && (math.IsNaN(r.Rate) || r.Rate < 0) {
 		return false
 	}
-	return l.server(r.Server, now).set(max(r.Rate, minRate), r.Ended, statedAt)
+	return l.server(r.Server).set(max(r.Rate, minRate), r.Ended, statedAt)
 }
 
 // Reset drops the limit of a server that has started anew, and ignores reports from before.
@@ -133,10 +133,10 @@
 }
 
 // server returns what is known of a server, initially that it has no limit.
-func (l *Limits) server(key uint32, now time.Duration) *server {
+func (l *Limits) server(key uint32) *server {
 	s := l.servers[key]
 	if s == nil {
-		s = &server{ended: true, statedAt: -1, registeredAt: now}
+		s = &server{ended: true, statedAt: -1}
 		l.servers[key] = s
 		l.order = append(l.order, key)
 	}
@@ -161,9 +161,12 @@
 	l.order = slices.DeleteFunc(l.order, func(key uint32) bool {
 		s := l.servers[key]
 		if isRegistered(key) {
-			s.registeredAt = now
+			s.unregisteredSince = 0
+		} else if s.unregisteredSince == 0 {
+			s.unregisteredSince = max(now, 1)
 		}
-		expired := now-s.registeredAt > forgetAfter || s.ended && now-s.statedAt > forgetAfter
+		isGone := s.unregisteredSince > 0 && now-s.unregisteredSince > forgetAfter
+		expired := isGone || s.ended && now-s.statedAt > forgetAfter
 		if expired {
 			delete(l.servers, key)
 		}
--- a/decide/throttle/throttle_test.go
+++ b/decide/throttle/throttle_test.go
@@ -245,3 +245,15 @@
 		t.Errorf("%d servers are known, want the registered one", len(l.servers))
 	}
 }
+
+// The registration of a limited server lapses after a long time without changes, and is back soon: its limit
+// must still be known.
+func TestALimitOutlivesALapseOfTheRegistration(t *testing.T) {
+	l := New("10.0.0.1", rand.New(rand.NewPCG(1, 1)))
+	l.RecordAnswer(limited, rateOf(1), 0, 0)
+	l.Retain(func(uint32) bool { return true }, time.Second)
+	l.Retain(func(uint32) bool { return false }, time.Second+2*forgetAfter)
+	if _, has := l.Rate(limited); !has {
+		t.Error("the limit is forgotten at once")
+	}
+}
