Queue requests while the first one after a rest is under way

Where the only servers of a service had rested, each new request was refused for up to a second while the first request after the rest was unanswered, although its answer would have let it go. It now waits for that answer, and is refused at once if the server asks for more rest. TestRequestsWaitForTheFirstAnswerAfterARest fails without the change.

--- a/decide/rest/rest.go
+++ b/decide/rest/rest.go
@@ -54,7 +54,16 @@
 	return !isResting
 }
 
-// Wait returns the time until a request may be sent to a server, as far as is known; zero for now.
+// RestLeft returns how long a server still rests.
+func (t *Tracker) RestLeft(id string, now time.Duration) time.Duration {
+	if s := t.servers[id]; s != nil {
+		return max(s.until-now, 0)
+	}
+	return 0
+}
+
+// Wait returns the longest time until a request may be sent to a server; zero for now. After the rest it is
+// less if the trial is answered before.
 func (t *Tracker) Wait(id string, now time.Duration) time.Duration {
 	s := t.servers[id]
 	if s == nil {
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -80,7 +80,7 @@
 	}
 	left := time.Duration(math.MaxInt64)
 	for _, s := range p.paused {
-		left = min(left, f.resting.Wait(s.ID, now))
+		left = min(left, f.resting.RestLeft(s.ID, now))
 	}
 	return left
 }
@@ -124,7 +124,7 @@
 	// first of them allows a request.
 	perSecond, nextTurn := 0.0, time.Duration(math.MaxInt64)
 	for _, s := range p.paused {
-		rest := f.resting.Wait(s.ID, now)
+		rest := f.resting.RestLeft(s.ID, now)
 		if _, limited := f.rateLimits.Rate(s.hash); !limited {
 			if float64(rest) <= maxRestWaitRatio*float64(maxWait) {
 				return nil
--- a/internal/gateway/statements_test.go
+++ b/internal/gateway/statements_test.go
@@ -135,3 +135,34 @@
 		t.Errorf("the other entry knows the limit as %v", got)
 	}
 }
+
+// The only server of a service has rested, and the first request after that is under way: further callers
+// are refused although the server may serve them in a moment.
+func TestRequestsWaitForTheFirstAnswerAfterARest(t *testing.T) {
+	t.Parallel()
+	f := newTestFleet(1, 4, 1, 0)
+	f.clearRefusing("app")
+	f.state("i-0", platform.Answer{Rest: 100 * msec}, 0)
+	f.updatePlacement(100 * msec)
+	if _, code := f.pickApp(100 * msec); code != api.ResultCode_OK {
+		t.Fatalf("the server gets no request after its rest: %v", code)
+	}
+	f.updatePlacement(105 * msec)
+	admitted := make(chan *result.Error)
+	go func() {
+		_, _, err := f.admitRequest(context.Background(), callTask(), 110*msec)
+		admitted <- err
+	}()
+	for queued := 0; queued == 0; time.Sleep(msec) {
+		select {
+		case err := <-admitted:
+			t.Fatalf("the request ended with %v while the first one is under way", err)
+		default:
+		}
+		queued = f.slotState("app").queued
+	}
+	f.state("i-0", platform.Answer{Signed: true}, 150*msec)
+	if err := <-admitted; err != nil {
+		t.Errorf("the request ended with %v after the server had served one", err)
+	}
+}
