Close links that are established after a member has stopped

A peer's link breaks when a member stops, and the peer dials again at once. If the listener is still open, the new link came up after the control goroutine had ended: nothing closed it, its heartbeats went on, and the peer took the old incarnation for linked and never dialled the new one. That is the order of events in which TestReplacedProcessTakesOverItsName loses the new incarnation; seen once at load 20.

--- a/internal/member/fake_test.go
+++ b/internal/member/fake_test.go
@@ -142,6 +142,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return f.startOn(t, ln, vm, role, change)
+}
+
+// startOn starts a member that serves links on a listener.
+func (f *fakePlatform) startOn(t *testing.T, ln net.Listener, vm, role string, change func(*Options)) *testNode {
+	t.Helper()
 	listed := platform.VM{ID: vm, Role: role, FailureDomain: "a", Link: ln.Addr().String()}
 	f.set(func() {
 		for i := range f.vms {
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -30,12 +30,19 @@
 	draining        bool
 }
 
+// errStopped means that the link was established after the member had stopped.
+var errStopped = errors.New("the member has stopped")
+
 // handler passes the events of links to the control goroutine.
 type handler struct{ node *Node }
 
-// Up implements link.Handler.
+// Up implements link.Handler. It waits for the control goroutine: a link that this goroutine no longer
+// closes when it ends is closed here. The peer would otherwise hear from a process that has stopped,
+// and not dial its successor.
 func (h handler) Up(s *link.Session) {
-	h.node.post(func() { h.node.peerUp(s) })
+	if !h.node.Do(func() { h.node.peerUp(s) }) {
+		go s.Close(errStopped)
+	}
 }
 
 // Down implements link.Handler.
--- a/internal/member/peers_test.go
+++ b/internal/member/peers_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"net"
 	"strconv"
 	"testing"
 	"time"
@@ -141,6 +142,39 @@
 	eventually(t, "leaving", func() bool { return !nodes[0].peer("e3").Usable() && nodes[2].State().OutOfService })
 }
 
+// lateListener accepts connections for a while after it is told to close.
+type lateListener struct {
+	net.Listener
+	delay time.Duration
+}
+
+// Close implements net.Listener.
+func (l lateListener) Close() error {
+	time.Sleep(l.delay)
+	return l.Listener.Close()
+}
+
+// A peer dials a member again whose control goroutine has ended, while its listener is still open.
+// If the member kept that link and its heartbeats, the peer would hold on to the old incarnation and
+// never dial the new one.
+func TestNoLinkOutlivesTheMember(t *testing.T) {
+	f := newFakePlatform(t)
+	near := f.start(t, "e1", platform.RoleEntry, nil)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	far := f.startOn(t, lateListener{ln, 10 * redialInterval}, "e2", platform.RoleEntry, nil)
+	eventually(t, "a link", func() bool { return near.peer("e2") != nil })
+	old := near.peer("e2")
+	far.stop()
+	fresh := f.start(t, "e2", platform.RoleEntry, nil)
+	eventually(t, "a link to the new incarnation", func() bool {
+		p := near.peer("e2")
+		return p != nil && p.Hello.GetIncarnation() == fresh.options.Self.GetIncarnation() && p.Session != old.Session
+	})
+}
+
 // A connection is lost in the network while new ones work. The member must dial a new link before
 // the old one is dead, and use the new one.
 func TestSuspectLinkIsRedialled(t *testing.T) {
