--- a/test/fakeplatform/group.go
+++ b/test/fakeplatform/group.go
@@ -66,6 +66,10 @@
 	paused  []bool
 	resumed *sync.Cond
 	runs    []Run
+	// paces are the times of the ranks for their work, relative to the usual time; running counts the
+	// streams that run on each rank.
+	paces   []float64
+	running []int
 	stopped atomic.Bool
 }
 
@@ -75,6 +79,10 @@
 	g := &Group{
 		Shape: shape, rng: rand.New(rand.NewPCG(seed, 1)), epoch: 1,
 		usedVersions: make(map[int64]bool), orderCounts: make(map[string]int), paused: make([]bool, shape.Ranks),
+		paces: make([]float64, shape.Ranks), running: make([]int, shape.Ranks),
+	}
+	for index := range g.paces {
+		g.paces[index] = 1
 	}
 	g.resumed = sync.NewCond(&g.mu)
 	for index := range shape.Ranks {
@@ -150,7 +158,7 @@
 	}
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"group": map[string]any{"name": "g", "epoch": g.epoch, "rank": index, "state": state}, "size": g.Shape.Ranks,
-		"pace": 1.0, "step": g.step, "map": r.version, "prepared": prepared, "armed": r.armed, "held": r.held, "born": r.incarnation,
+		"pace": g.paces[index], "step": g.step, "map": r.version, "prepared": prepared, "armed": r.armed, "held": r.held, "born": r.incarnation,
 	})
 }
 
@@ -236,6 +244,35 @@
 	return step
 }
 
+// Prepare makes all ranks prepare a version of the initial map, like a coordinator that dies after that.
+func (g *Group) Prepare(version int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for index := range g.ranks {
+		g.prepare(index, Order{Version: version, Map: []expertMap{g.initialMap()}})
+	}
+}
+
+// IsPrepared reports whether all ranks have completed the copy of a version.
+func (g *Group) IsPrepared(version int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.ranks {
+		r.completeCopy()
+		if r.prepared != version {
+			return false
+		}
+	}
+	return true
+}
+
+// HasUsed reports whether the group has begun a pass with a version.
+func (g *Group) HasUsed(version int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.usedVersions[version]
+}
+
 // GroupState is a snapshot of a group.
 type GroupState struct {
 	// Passes counts the passes begun in all epochs; Step is the last pass of this epoch.
--- a/test/fakeplatform/store.go
+++ b/test/fakeplatform/store.go
@@ -169,16 +169,18 @@
 	Attempts int     `json:"attempts"`
 	Resume   bool    `json:"resumable"`
 	Service  string  `json:"service"`
+	// MaxPauseMs is the longest pause between two events for which a stream is on time; zero for none.
+	MaxPauseMs float64 `json:"gap-aim-ms,omitempty"`
 }
 
 // Routes returns one route of each kind, and one with a short timeout.
 func Routes() []Route {
 	return []Route{
-		{"push", "h.example", "/push/", "non_idempotent", 5000, 3, false, "app"},
-		{"look", "h.example", "/look/", "idempotent", 5000, 2, false, "app"},
-		{"draft", "h.example", "/draft/", "stream", 8000, 2, true, "app"},
-		{"chat", "h.example", "/chat/", "stream", 8000, 2, false, "app"},
-		{"quick", "h.example", "/quick/", "idempotent", 300, 1, false, "app"},
+		{"push", "h.example", "/push/", "non_idempotent", 5000, 3, false, "app", 0},
+		{"look", "h.example", "/look/", "idempotent", 5000, 2, false, "app", 0},
+		{"draft", "h.example", "/draft/", "stream", 8000, 2, true, "app", 0},
+		{"chat", "h.example", "/chat/", "stream", 8000, 2, false, "app", 0},
+		{"quick", "h.example", "/quick/", "idempotent", 300, 1, false, "app", 0},
 	}
 }
 
--- a/test/fakeplatform/stream.go
+++ b/test/fakeplatform/stream.go
@@ -61,6 +61,27 @@
 	}
 }
 
+// SetPace sets how many times longer than usual a rank takes for its work.
+func (g *Group) SetPace(index int, pace float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.paces[index] = pace
+}
+
+// passTime returns the time between two events of all streams: each rank waits for the slowest one
+// that has streams.
+func (g *Group) passTime() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	slowest := 1.0
+	for index, n := range g.running {
+		if n > 0 {
+			slowest = max(slowest, g.paces[index])
+		}
+	}
+	return time.Duration(slowest * float64(eventInterval))
+}
+
 // isRunning reports whether the group has run without a crash since an epoch began.
 func (g *Group) isRunning(epoch int64) bool {
 	g.mu.Lock()
@@ -87,7 +108,13 @@
 		return
 	}
 	g.runs = append(g.runs, Run{Request: id, Rank: index, StartedAt: time.Now()})
+	g.running[index]++
 	g.mu.Unlock()
+	defer func() {
+		g.mu.Lock()
+		g.running[index]--
+		g.mu.Unlock()
+	}()
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Upstream-Signature", "sig")
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -96,8 +123,11 @@
 		after = 0
 	}
 	for n := after + 1; n <= engineEvents; n++ {
-		time.Sleep(eventInterval)
+		time.Sleep(g.passTime())
 		g.waitResumed(index)
+		if r.Context().Err() != nil {
+			return
+		}
 		if !g.isRunning(epoch) {
 			panic(http.ErrAbortHandler)
 		}
