Move requests away from an engine that delays its whole group

Cause: a lock-step group runs at the pace of its slowest rank.

Change: decide/straggler decides which running requests leave. A request leaves when its server is too slow for new ones, passes are longer than its route accepts, and the rank's own part, from its pace and the configured step, explains at least 0.3 of that pause. Moves share the rate and the free slots of those from silent VMs, and take the half of the retry budget that failures do not need. A server whose speed swings is held back after its second slow period.

--- a/decide/place/retry.go
+++ b/decide/place/retry.go
@@ -27,6 +27,13 @@
 	return b.tokens >= 1
 }
 
+// HasSpare reports whether a retry may be made that is of use but not needed to answer the request:
+// half of the reserve stays for those that are.
+func (b *RetryBudget) HasSpare() bool {
+	b.fillOnFirstUse()
+	return b.tokens >= max(1, b.reserve()/2)
+}
+
 // SpendRetry reports whether a retry may be made, and deducts it from the budget.
 func (b *RetryBudget) SpendRetry() bool {
 	if !b.CanRetry() {
--- a/decide/silence/silence.go
+++ b/decide/silence/silence.go
@@ -229,16 +229,19 @@
 // seconds and make every other caller late: all entries move requests at the same moment, and learn
 // of each other's requests only later.
 func (d *Detector) MoveReason(id string, service Service, p Progress, now time.Duration) Reason {
-	reason := d.reason(id, p, now)
-	switch {
-	case d.lastMoveAt > 0 && now-d.lastMoveAt < d.cfg.MoveInterval:
-		return NotMoved
-	case service.FreeSlots < service.Entries+int(d.cfg.ReservedRatio*float64(service.Slots)):
-		return NotMoved
-	case service.LockStep && !d.otherServerAlive(id, service.Name, now):
+	if !d.MayMove(service, now) || service.LockStep && !d.otherServerAlive(id, service.Name, now) {
 		return NotMoved
 	}
-	return reason
+	return d.reason(id, p, now)
+}
+
+// MayMove reports whether the rate of moves and the free slots of a service allow another request to
+// be moved now, for whatever reason.
+func (d *Detector) MayMove(service Service, now time.Duration) bool {
+	if d.lastMoveAt > 0 && now-d.lastMoveAt < d.cfg.MoveInterval {
+		return false
+	}
+	return service.FreeSlots >= service.Entries+int(d.cfg.ReservedRatio*float64(service.Slots))
 }
 
 func (d *Detector) reason(id string, p Progress, now time.Duration) Reason {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,7 +12,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/apricothub/apricothub/decide/silence"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/routing"
 	"github.com/apricothub/apricothub/internal/sse"
@@ -66,7 +65,7 @@
 	var watchedCtx context.Context
 	watchedCtx, a.watchdog = g.startWatchdog(ctx, t, s)
 	outcome := a.run(watchedCtx)
-	next, reason := a.watchdog.stop()
+	next := a.watchdog.stop()
 	if a.conn != nil {
 		t.history.sent++
 		a.conn.Release(a.resp, a.isWhole, a.answer.KeepAlive, clock.Now())
@@ -81,31 +80,20 @@
 		a.serverOutcome = outcomeUnknown
 	case next != nil:
 		outcome = moved
-		a.serverOutcome, a.err = outcomeOfMove(reason)
+		a.serverOutcome, a.err = next.outcome, next.cause
 		t.history.hung = true
+		if errors.Is(next.cause, errSlowServer) {
+			g.metrics.movedFromSlow.Inc(1)
+		}
 	}
 	g.fleet.endAttempt(s.ID, a.serverOutcome, clock.Now()-began, clock.Now())
 	if next == nil {
 		return attemptResult{outcome: outcome, err: a.err, asksForRest: a.answer.Rest > 0}
 	}
 	if outcome != moved {
-		g.fleet.endAttempt(next.ID, outcomeUnknown, 0, clock.Now())
-	}
-	return attemptResult{outcome: outcome, next: *next, err: a.err}
-}
-
-var (
-	errSilentVM   = errors.New("the VM of the backend server is silent")
-	errNoProgress = errors.New("the request made no progress for too long")
-)
-
-// outcomeOfMove returns the server's outcome for an attempt that was moved, and the error to log.
-func outcomeOfMove(reason silence.Reason) (serverOutcome, error) {
-	if reason == silence.SilentVM {
-		// Probes track a silent VM, so the attempt itself does not count against the server.
-		return outcomeUnknown, errSilentVM
+		g.fleet.endAttempt(next.to.ID, outcomeUnknown, 0, clock.Now())
 	}
-	return outcomeFailed, errNoProgress
+	return attemptResult{outcome: outcome, next: next.to, err: a.err}
 }
 
 func (a *attempt) run(ctx context.Context) attemptOutcome {
@@ -290,6 +278,7 @@
 		if err := out.writeEvent(event); err != nil {
 			return abandoned
 		}
+		a.watchdog.noteEvent()
 	}
 }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/apricothub/apricothub/decide/place"
 	"github.com/apricothub/apricothub/decide/rest"
 	"github.com/apricothub/apricothub/decide/silence"
+	"github.com/apricothub/apricothub/decide/straggler"
 	"github.com/apricothub/apricothub/decide/throttle"
 	"github.com/apricothub/apricothub/internal/experts"
 	"github.com/apricothub/apricothub/internal/routing"
@@ -53,6 +54,7 @@
 	table           *place.Table
 	ejector         *eject.Tracker
 	silenceDetector *silence.Detector
+	stragglers      *straggler.Tracker
 	servers         map[string]*server
 	// hasServers means that servers have been known.
 	hasServers bool
@@ -142,6 +144,7 @@
 		table:           place.NewTable(rng, place.Config{QueueRatio: serverQueueRatio, TrustStaleReports: true}),
 		ejector:         eject.New(eject.Config{}),
 		silenceDetector: silence.New(silence.Config{}),
+		stragglers:      straggler.New(straggler.Config{}),
 		engines:         make(map[string]bool),
 		servers:         make(map[string]*server),
 		removedAt:       make(map[string]time.Duration),
@@ -231,6 +234,7 @@
 	known := func(id string) bool { return f.servers[id] != nil }
 	f.ejector.Retain(known)
 	f.silenceDetector.Retain(known)
+	f.stragglers.Retain(known)
 	f.resting.Retain(known, now)
 	f.rateLimits.Retain(func(hash uint32) bool { return f.byHash[hash] != nil }, now)
 	f.updatePlacement(now)
@@ -253,8 +257,8 @@
 }
 
 // setPeerReports sets the other entries' requests in flight at all servers, and the servers that
-// are slow or closed.
-func (f *fleet) setPeerReports(others *peering.LoadSums, impairments map[string]experts.Impairment, now time.Duration) {
+// are slow or closed. It reports whether the load limit of any server has changed.
+func (f *fleet) setPeerReports(others *peering.LoadSums, impairments map[string]experts.Impairment, now time.Duration) (limitsChanged bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	closed := f.countClosed(impairments)
@@ -262,9 +266,10 @@
 		s.othersInFlight = others.At(s.hash)
 		impairment := impairments[id]
 		impairment.Closed = impairment.Closed || s.isJoiningClosedGroup(closed, now)
-		f.setImpairment(id, s, impairment)
+		limitsChanged = f.setImpairment(id, s, impairment) || limitsChanged
 	}
 	f.updatePlacement(now)
+	return limitsChanged
 }
 
 // inFlight returns this entry's requests in flight: the hash of its server for each of them.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,9 +23,9 @@
 	// limited counts rate limits that backend servers began to state or changed, rested their requests for
 	// rest.
 	limited, rested metrics.Counter
-	// silentVMs counts VMs of backend servers that went silent, moved the requests moved away from
-	// them.
-	silentVMs, moved                    metrics.Counter
+	// silentVMs counts VMs of backend servers that went silent. moved counts the requests that were moved
+	// to another server, movedFromSlow those of them that left a slow one.
+	silentVMs, moved, movedFromSlow     metrics.Counter
 	took, waited, firstEvent, eventGaps metrics.Histogram
 	// storeReads, storeWrites and storeFailures count calls of the platform's store.
 	storeReads, storeWrites, storeFailures metrics.Counter
@@ -51,6 +51,7 @@
 		rested:        metrics.NewRegisteredCounter("gateway.servers.rested", r),
 		silentVMs:     metrics.NewRegisteredCounter("gateway.servers.silent", r),
 		moved:         metrics.NewRegisteredCounter("gateway.attempts.moved", r),
+		movedFromSlow: metrics.NewRegisteredCounter("gateway.attempts.moved.slow", r),
 		storeReads:    metrics.NewRegisteredCounter("gateway.store.reads", r),
 		storeWrites:   metrics.NewRegisteredCounter("gateway.store.writes", r),
 		storeFailures: metrics.NewRegisteredCounter("gateway.store.failed", r),
--- a/internal/gateway/output.go
+++ b/internal/gateway/output.go
@@ -23,6 +23,8 @@
 	// lastEventAt is when the last event was passed on, maxEventGap the longest time between two.
 	lastEventAt, maxEventGap time.Duration
 	eventGaps                metrics.Histogram
+	// events counts the events passed on.
+	events int
 	// lastID is the ID of the last event that was passed on.
 	lastID string
 	// fallback is a backend server's error answer, used if no other server does better.
@@ -76,6 +78,7 @@
 	if e.ID != "" {
 		o.lastID = e.ID
 	}
+	o.events++
 	now := clock.Now()
 	if o.lastEventAt > 0 {
 		o.maxEventGap = max(o.maxEventGap, now-o.lastEventAt)
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -11,14 +11,17 @@
 	"github.com/apricothub/apricothub/internal/experts"
 )
 
-// setImpairment sets how slow a server is, and whether it is closed. The caller holds the lock.
-func (f *fleet) setImpairment(id string, s *server, impairment experts.Impairment) {
+// setImpairment sets how slow a server is, and whether it is closed. It reports whether its load limit
+// has changed. The caller holds the lock.
+func (f *fleet) setImpairment(id string, s *server, impairment experts.Impairment) bool {
 	oldLimit, wasClosed := s.inFlightLimit(), s.closed
 	s.slowdown, s.closed = impairment.Slowdown, impairment.Closed
-	if s.inFlightLimit() != oldLimit || s.closed != wasClosed {
-		_ = level.Info(f.logger).Log("msg", "The load limit of a backend server has changed.", "server", id, "service", s.Service,
-			"pace", s.slowdown, "closed", s.closed, "limit", s.inFlightLimit())
+	if s.inFlightLimit() == oldLimit && s.closed == wasClosed {
+		return false
 	}
+	_ = level.Info(f.logger).Log("msg", "The load limit of a backend server has changed.", "server", id, "service", s.Service,
+		"pace", s.slowdown, "closed", s.closed, "limit", s.inFlightLimit())
+	return true
 }
 
 // inFlightLimit returns how many requests a server may have in flight.
@@ -50,7 +53,7 @@
 		total[s.Service]++
 		if f.isUnavailable(id, now) || f.resting.Wait(id, now) > 0 {
 			unusable[s.Service]++
-		} else if s.inFlightLimit() > 0 && !s.closed && !s.isLeaving {
+		} else if s.inFlightLimit() > 0 && !s.closed && !s.isLeaving && !f.stragglers.IsHeld(id, now) {
 			hasFast[s.Service] = true
 		}
 	}
@@ -63,7 +66,7 @@
 		f.reportLoad(s, now)
 		// When all servers of a service fail, the cause lies elsewhere, and no server is worse than
 		// the others. When the others rest, a server that has failed is better than none.
-		isSuspect := s.closed || s.saysLeaving || now < s.replacedUntil || s.isTooSlow(hasFast) || f.refusing[s.Service] ||
+		isSuspect := s.closed || s.saysLeaving || now < s.replacedUntil || f.isStraggler(id, s, hasFast, now) || f.refusing[s.Service] ||
 			f.isUnavailable(id, now) && unusable[s.Service] < total[s.Service]
 		f.table.SetSuspect(id, isSuspect || f.isPaused(s, now))
 		if hasPaused && !isSuspect && !s.isLeaving {
--- a/internal/gateway/silent.go
+++ b/internal/gateway/silent.go
@@ -43,11 +43,12 @@
 	mu       sync.Mutex
 	ended    bool
 	hasBegun bool
+	// events counts the events that the caller has, also from earlier attempts.
+	events int
 	// lastProgress is when the latest part of the answer arrived, or when the attempt began.
 	lastProgress time.Duration
-	// next is the server that the request moves to, reason why; nil while the attempt goes on.
-	next   *placement
-	reason silence.Reason
+	// next is where the request moves; nil while the attempt goes on.
+	next *move
 }
 
 // startWatchdog starts watching an attempt. It returns nil and the same context if the request
@@ -57,7 +58,7 @@
 		return ctx, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	w := &watchdog{g: g, t: t, server: s, cancel: cancel, lastProgress: clock.Now()}
+	w := &watchdog{g: g, t: t, server: s, cancel: cancel, lastProgress: clock.Now(), events: t.out.events}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(g.fleet.probeDelay(w.progress()), w.check)
@@ -81,6 +82,16 @@
 	w.g.fleet.recordHeard(w.server.ID, w.t.service, now)
 }
 
+// noteEvent records that the caller has another event.
+func (w *watchdog) noteEvent() {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.events++
+}
+
 // progressBody is the body of an answer; each read that returns data counts as progress.
 type progressBody struct {
 	io.ReadCloser
@@ -95,18 +106,18 @@
 	return n, err
 }
 
-// stop stops the watchdog. It returns the server that the request moves to, and why; nil if the
-// watchdog did not end the attempt.
-func (w *watchdog) stop() (*placement, silence.Reason) {
+// stop stops the watchdog. It returns where the request moves; nil if the watchdog did not end the
+// attempt.
+func (w *watchdog) stop() *move {
 	if w == nil {
-		return nil, silence.NotMoved
+		return nil
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ended = true
 	w.timer.Stop()
 	w.cancel()
-	return w.next, w.reason
+	return w.next
 }
 
 // check checks whether the request has waited for too long, and probes the VM or moves the request.
@@ -125,7 +136,7 @@
 		go w.g.probeVM(w.server.Server)
 	}
 	if canMove(w.t.route, w.t.history) {
-		w.next, w.reason = w.g.fleet.pickMoveTarget(w.server.ID, w.t, w.progress(), now)
+		w.next = w.g.fleet.pickMoveTarget(w.server.ID, w.t, w.progress(), w.events, now)
 	}
 	if w.next != nil {
 		w.cancel()
@@ -248,27 +259,3 @@
 	}
 	return becameSilent, probeAgain
 }
-
-// pickMoveTarget picks another server for a request that makes no progress at its server, and
-// returns why; nil if the request stays. End the attempt at the returned server with endAttempt.
-//
-// Without this, the callers of requests at frozen VMs and hanging servers would wait until they
-// leave, and the server would run the requests for nobody when it is back.
-func (f *fleet) pickMoveTarget(id string, t *task, p silence.Progress, now time.Duration) (*placement, silence.Reason) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	budget := f.retryBudget(t.service)
-	free, capacity := f.table.Slots(offer(t.service), now)
-	service := silence.Service{Name: t.service, LockStep: f.engines[t.service], FreeSlots: free, Slots: capacity, Entries: f.entries}
-	reason := f.silenceDetector.MoveReason(id, service, p, now)
-	if reason == silence.NotMoved || !budget.CanRetry() {
-		return nil, silence.NotMoved
-	}
-	s, code := f.pick(pickRequest{service: t.service, tried: t.tried, timeLeft: timeLeft(t.deadline, now)}, now)
-	if code != api.ResultCode_OK {
-		return nil, silence.NotMoved
-	}
-	budget.SpendRetry()
-	f.silenceDetector.RecordMove(now)
-	return &s, reason
-}
--- a/internal/logging/keys.go
+++ b/internal/logging/keys.go
@@ -106,6 +106,8 @@
 	{"draining", "whether the server is draining and takes no new requests"},
 	{"cold_ms", "maximum time for which the server stays cold, as it reported"},
 	{"for_ms", "time for which the server is ejected and gets no requests"},
+	{"in_flight", "requests of this process at the server"},
+	{"held_back", "whether the server gets no new requests for a while because its speed swings"},
 	{"pace", "ratio of the time that the server takes for its work to its usual time, as it reported"},
 	{"closed", "whether the server takes no requests because its group is broken"},
 	{"rest_ms", "time for which the server wants no further requests from this entry"},
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -119,6 +119,10 @@
 	FormTime time.Duration
 }
 
+// OwnPart returns the least time that an engine with requests takes of its own in a pass, apart from
+// the experts; zero if unknown.
+func (e *Engine) OwnPart() time.Duration { return time.Duration(e.StepsPerPass) * e.StepTime }
+
 // Service is a set of backend servers that do the same work.
 type Service struct {
 	Name       string
