Pass the coordination of expert maps on within half a second

Cause: among 36 entries a heartbeat comes every 0.4 s, so that a coordinator that stalls was missed after 1.2 s. The entries learned of a slow engine with the next regular heartbeat, 0.65 s after it had turned slow, and the switch away from it looked two passes ahead, since the moving average of passes did not show it yet.

Change: the coordinator names its successor, which hears from it every 100 ms and takes over after 350 ms of silence. A successor goes on with a version that all ranks have prepared (mapswitch.PreparedByAll); it never orders a map that it does not know. A heartbeat is sent at once when a load limit or the fence changes. The look-ahead of a switch counts the own part of the slowest rank.

--- a/coord/mapswitch/mapswitch.go
+++ b/coord/mapswitch/mapswitch.go
@@ -168,6 +168,22 @@
 	return d
 }
 
+// PreparedByAll returns the version that all ranks have prepared and none has begun to switch to; zero
+// for none. A coordinator that takes over may make it its target, and need not plan a map anew. It must
+// not order any rank to prepare that version, since it does not know its map.
+func PreparedByAll(ranks []Status) int64 {
+	if len(ranks) == 0 || !sameEpoch(ranks) {
+		return 0
+	}
+	version := ranks[0].Prepared
+	for _, s := range ranks {
+		if s.Prepared != version || s.Prepared <= s.Map || s.Armed != nil || s.Held != nil || s.Stale {
+			return 0
+		}
+	}
+	return version
+}
+
 // OrderUnanswered reports that it is unknown whether an order was carried out. It is sent again as
 // soon as the rank reports that it was not. Without this, a held group would wait RetryInterval, as
 // for a report that may be stale, for each order that an engine leaves unanswered.
--- a/coord/mapswitch/sim_test.go
+++ b/coord/mapswitch/sim_test.go
@@ -202,11 +202,22 @@
 	fence   int64
 	targets int64
 	target  int64
+	// isTakenOver means that the target was prepared by an earlier coordinator.
+	isTakenOver bool
 }
 
 func (c *simCoordinator) chooseTarget() {
 	c.targets++
 	c.target = c.fence<<8 + c.targets
+	c.isTakenOver = false
+}
+
+// takeOver takes a version that all ranks have prepared as target, if there is one.
+func (s *sim) takeOver(c *simCoordinator) {
+	if version := PreparedByAll(s.readRanks()); version != 0 {
+		c.target, c.isTakenOver = version, true
+		s.record("fence %d takes over %d", c.fence, version)
+	}
 }
 
 // step lets a coordinator read the ranks and send its orders, each of which is carried out at once,
@@ -222,6 +233,10 @@
 			return
 		}
 		for _, o := range d.Orders {
+			if o.Kind == Prepare && c.isTakenOver {
+				c.chooseTarget()
+				return
+			}
 			if s.send(c, o) {
 				if o.Kind == Claim {
 					c.machine.ClaimAccepted(o.Rank, o.Epoch)
@@ -308,6 +323,9 @@
 				c = &simCoordinator{machine: newMachine(t), fence: fence}
 				c.chooseTarget()
 				s.record("coordinator %d", fence)
+				if rapid.Bool().Draw(t, "takes over") {
+					s.takeOver(c)
+				}
 			case 1:
 				c.chooseTarget()
 			case 2:
@@ -358,3 +376,38 @@
 		}
 	})
 }
+
+// A coordinator dies between the copies of a map and its use. The next one must be able to go on with
+// that map, but only if all ranks have it: it cannot order a rank to prepare a map that it does not know.
+func TestPreparedByAll(t *testing.T) {
+	held := int64(9)
+	prepared := func(changes ...func(*Status)) []Status {
+		ranks := make([]Status, 3)
+		for i := range ranks {
+			ranks[i] = Status{Epoch: 1, Step: 7, Map: 4, Prepared: 5}
+		}
+		for _, change := range changes {
+			change(&ranks[1])
+		}
+		return ranks
+	}
+	for _, c := range []struct {
+		name  string
+		ranks []Status
+		want  int64
+	}{
+		{"all ranks", prepared(), 5},
+		{"no rank", nil, 0},
+		{"one rank lacks it", prepared(func(s *Status) { s.Prepared = 0 }), 0},
+		{"one rank has another one", prepared(func(s *Status) { s.Prepared = 6 }), 0},
+		{"one rank uses it", prepared(func(s *Status) { s.Map, s.Prepared = 5, 5 }), 0},
+		{"one rank is armed", prepared(func(s *Status) { s.Armed = &Arming{5, 9} }), 0},
+		{"one rank holds the group", prepared(func(s *Status) { s.Held = &held }), 0},
+		{"one rank is in another epoch", prepared(func(s *Status) { s.Epoch = 2 }), 0},
+		{"one report is stale", prepared(func(s *Status) { s.Stale = true }), 0},
+	} {
+		if got := PreparedByAll(c.ranks); got != c.want {
+			t.Errorf("%s: %d, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/coord/peering/peering.go
+++ b/coord/peering/peering.go
@@ -26,6 +26,11 @@
 	// another one takes over as coordinator, if that is sooner than SilentAfter. Default 4. A
 	// takeover from a live entry is safe: engines refuse its lower fence.
 	MaxMissedHeartbeats int
+	// SuccessorInterval is the time between two heartbeats to the successor. Default 100 ms.
+	SuccessorInterval time.Duration
+	// SuccessorSilence is the time without a heartbeat after which the successor of a coordinator takes
+	// over. Default 350 ms: three lost heartbeats.
+	SuccessorSilence time.Duration
 	// MinHeartbeatInterval is the minimum time between two heartbeats to an entry. Default 150 ms,
 	// a tenth of the time of a typical generation, so that others learn of requests in flight at
 	// backend servers before they end.
@@ -51,6 +56,8 @@
 		}
 	}
 	set(&c.SilentAfter, 1200*time.Millisecond)
+	set(&c.SuccessorInterval, 100*time.Millisecond)
+	set(&c.SuccessorSilence, 350*time.Millisecond)
 	set(&c.MinHeartbeatInterval, 150*time.Millisecond)
 	set(&c.ProbeInterval, time.Second)
 	set(&c.StartupGrace, 2*time.Second)
@@ -71,6 +78,8 @@
 	peers map[string]*peer
 	// sorted are the peers in the order of their IPs.
 	sorted []*peer
+	// successor is the IP of the entry that takes over first if this one coordinates; "" for none.
+	successor string
 }
 
 // peer is another entry, identified by its IP.
@@ -184,22 +193,26 @@
 
 // Live returns the last heartbeats of the live entries, sorted by IP.
 func (t *Table) Live(now time.Duration) []*api.PeerBeat {
-	return t.heartbeatsWithin(t.cfg.SilentAfter, now)
+	return t.heartbeatsWithin(func(*peer) time.Duration { return t.cfg.SilentAfter }, now)
 }
 
-// OnTime returns the live entries that have missed at most MaxMissedHeartbeats heartbeats.
+// OnTime returns the live entries that have missed at most MaxMissedHeartbeats heartbeats. A
+// coordinator whose successor this entry is, is on time for SuccessorSilence.
 //
 // If the coordinator stalls while it holds a group, callers are waiting in that group. Without this
 // shorter limit they would wait SilentAfter for a takeover, and hang up.
 func (t *Table) OnTime(now time.Duration) []*api.PeerBeat {
 	maxAge := time.Duration(t.cfg.MaxMissedHeartbeats) * t.heartbeatInterval(t.liveCount(now))
-	return t.heartbeatsWithin(min(maxAge, t.cfg.SilentAfter), now)
+	maxAge = min(maxAge, t.cfg.SilentAfter)
+	return t.heartbeatsWithin(func(p *peer) time.Duration { return t.maxOnTimeAge(p, maxAge) }, now)
 }
 
-func (t *Table) heartbeatsWithin(maxAge, now time.Duration) []*api.PeerBeat {
+// heartbeatsWithin returns the last heartbeats of the peers that were heard within the given time,
+// sorted by IP.
+func (t *Table) heartbeatsWithin(maxAge func(*peer) time.Duration, now time.Duration) []*api.PeerBeat {
 	heartbeats := make([]*api.PeerBeat, 0, len(t.sorted))
 	for _, p := range t.sorted {
-		if p.heardWithin(maxAge, now) {
+		if p.heardWithin(maxAge(p), now) {
 			heartbeats = append(heartbeats, p.lastHeartbeat)
 		}
 	}
@@ -299,8 +312,11 @@
 		wait := t.cfg.ProbeInterval
 		if t.isLive(p, now) {
 			wait = interval
-			if allLive {
+			switch {
+			case allLive:
 				wait = 0
+			case p.ip == t.successor:
+				wait = min(interval, t.cfg.SuccessorInterval)
 			}
 		}
 		if p.contacted && now-p.lastSent < wait {
--- a/internal/experts/coordinator_test.go
+++ b/internal/experts/coordinator_test.go
@@ -211,6 +211,22 @@
 	g.waitForPasses(t, 20)
 }
 
+// A coordinator dies after all ranks have prepared its map. The next one must use that map at once, and
+// not leave the group with one that does not fit until it has counts and another copy is complete.
+func TestNextCoordinatorUsesThePreparedMap(t *testing.T) {
+	t.Parallel()
+	const prepared = 7
+	g := newTestGroup(t, 200)
+	g.Prepare(prepared)
+	waitFor(t, "all ranks have the copy", func() bool { return g.IsPrepared(prepared) })
+	startCoordinator(t, g, newStore(t))
+	waitFor(t, "a map is used", func() bool { return g.State().Version != 0 })
+	if !g.HasUsed(prepared) {
+		t.Errorf("the first map used is %d, want the prepared one", g.State().Version)
+	}
+	g.waitForPasses(t, 20)
+}
+
 // The coordinator is replaced during an outage of the store. Meanwhile the popularity of experts
 // changes, and every pass waits for one rank. Once the store answers, the next coordinator must
 // begin within the short interval between requests for a fence, not after the long backoff of a
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -37,9 +37,11 @@
 	// targetVersion is the version to switch to, zero for none, and targetMaps its map.
 	targetVersion int64
 	targetMaps    []balance.LayerMap
-	// targetOrder is the encoded target. needsWholeMap are the engines, by ID, whose rank agents do
+	// targetOrder is the encoded target, nil for one that an earlier coordinator has prepared.
+	// hasTakenOver means that this coordinator has looked for such a target. needsWholeMap are the engines, by ID, whose rank agents do
 	// not hold the map that the target was planned from.
 	targetOrder   *ranks.MapOrder
+	hasTakenOver  bool
 	needsWholeMap map[string]bool
 	// targetSetAt is when the target was set.
 	targetSetAt time.Duration
@@ -95,10 +97,11 @@
 	}
 	slices.SortFunc(members, func(a, b *member) int { return int(a.reply.GetState().GetRank() - b.reply.GetState().GetRank()) })
 	passes := g.updatePassTime(members, now)
-	g.machine.SetPassTime(g.passTime)
+	g.machine.SetPassTime(max(g.passTime, slowestOwnPart(members)))
 	g.planner.Expect(g.c.recordedPopularity[g.name])
 	g.observe(members, passes)
 	g.recordPopularity(ctx, now)
+	g.takeOverTarget(status)
 	current := g.currentMaps(members)
 	if g.targetVersion == 0 && current != nil {
 		g.planChange(current, members[0].reply.GetState().GetMap(), now)
@@ -181,6 +184,17 @@
 	return passes
 }
 
+// slowestOwnPart returns the least time that the slowest rank takes of its own in a pass; zero if
+// unknown. The moving average of passes shows a rank that has just become slow only when its first
+// pass is over, and a switch that looks two passes ahead would wait for a second one.
+func slowestOwnPart(members []*member) time.Duration {
+	slowest := time.Duration(0)
+	for _, m := range members {
+		slowest = max(slowest, time.Duration(m.reply.GetState().GetPace()*float64(m.engine.Config.OwnPart())))
+	}
+	return slowest
+}
+
 // currentMaps returns the maps in use, or nil until all ranks have reported theirs.
 func (g *group) currentMaps(members []*member) []balance.LayerMap {
 	maps := make([]balance.LayerMap, g.shape.LayerSets)
@@ -224,6 +238,23 @@
 	g.needsWholeMap = make(map[string]bool)
 }
 
+// takeOverTarget takes a version that an earlier coordinator has prepared on all ranks as target. Without
+// this, the first map of a coordinator that takes over in the middle of a change waits for counts and
+// copies, while every pass waits for a map that does not fit.
+func (g *group) takeOverTarget(status []mapswitch.Status) {
+	if g.hasTakenOver {
+		return
+	}
+	g.hasTakenOver = true
+	version := mapswitch.PreparedByAll(status)
+	if version == 0 || g.targetVersion != 0 {
+		return
+	}
+	g.targetVersion, g.targetSetAt = version, clock.Now()
+	_ = level.Info(g.c.logger).Log("msg", "A map that an earlier coordinator has prepared is taken over.", "group", g.name, "epoch", g.epoch,
+		"version", version, "fence", g.c.fence.Load())
+}
+
 func (g *group) clearTarget() {
 	g.targetVersion, g.targetMaps, g.targetOrder = 0, nil, nil
 }
@@ -258,6 +289,11 @@
 		if len(decision.Orders) == 0 || g.c.fenced {
 			break
 		}
+		if g.targetOrder == nil && slices.ContainsFunc(decision.Orders, isPrepare) {
+			// A rank no longer has the version that was taken over.
+			g.clearTarget()
+			break
+		}
 		g.sendOrders(ctx, members, decision.Orders)
 		if status = statuses(members); status == nil {
 			break
@@ -266,6 +302,8 @@
 	return busy
 }
 
+func isPrepare(o mapswitch.Order) bool { return o.Kind == mapswitch.Prepare }
+
 // finishSwitch clears a target that has come into use.
 func (g *group) finishSwitch() {
 	_ = level.Info(g.c.logger).Log("msg", "A new expert map is in use.", "group", g.name, "epoch", g.epoch,
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -76,6 +76,10 @@
 	// stateRequestedAt is when the last one was sent.
 	stateRequestedAt time.Duration
 	stateRequested   bool
+	// sentFence is the fence in the last heartbeat, successor the entry that takes over first if this
+	// one coordinates; "" for none.
+	sentFence int64
+	successor string
 	// sequence is the sequence number of the last heartbeat.
 	sequence    uint64
 	entryCounts entryCounts
@@ -253,7 +257,9 @@
 		}
 	}
 	c.peerLoads.Retain(live)
-	c.g.fleet.setPeerReports(c.peerLoads, c.reportedImpairments(live), now)
+	limitsChanged := c.g.fleet.setPeerReports(c.peerLoads, c.reportedImpairments(live), now)
+	// The other entries go by what the coordinator reports.
+	c.heartbeatDue = c.heartbeatDue || limitsChanged && c.g.experts.Fence() != 0
 	c.publishView(live, now)
 	self := &api.PeerBeat{Ip: c.g.settings.IP, FailureDomain: c.g.settings.FailureDomain, Serving: c.g.view.Load().ready}
 	c.decideStoreReads(self, live, now)
--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/coord/peering"
 	"github.com/apricothub/apricothub/internal/experts"
 )
 
@@ -44,3 +47,18 @@
 	}
 	return impairments
 }
+
+// chooseSuccessor chooses the entry that takes over first when this one, the coordinator, falls silent.
+// fence is zero if this entry does not coordinate.
+func (c *control) chooseSuccessor(live []*api.PeerBeat, fence int64) {
+	successor := ""
+	if fence != 0 && c.g.settings.Bounds.RequireFencing {
+		successor = peering.SelectSuccessor(&api.PeerBeat{Ip: c.g.settings.IP, FailureDomain: c.g.settings.FailureDomain}, live, c.successor)
+	}
+	if successor == c.successor {
+		return
+	}
+	c.successor = successor
+	c.peers.SetSuccessor(successor)
+	_ = level.Info(c.logger).Log("msg", "The successor of the coordinator has changed.", "address", successor, "fence", fence)
+}
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -49,8 +49,12 @@
 
 // sendHeartbeats sends this entry's heartbeat to the entries that it is due to.
 func (c *control) sendHeartbeats(live []*api.PeerBeat, now time.Duration) {
+	fence := c.g.experts.Fence()
+	// The others follow the coordinator with the highest fence.
+	c.heartbeatDue = c.heartbeatDue || fence != c.sentFence
+	c.chooseSuccessor(live, fence)
 	due := c.peers.TakeDue(now, c.heartbeatDue)
-	c.heartbeatDue = false
+	c.heartbeatDue, c.sentFence = false, fence
 	if len(due) == 0 {
 		return
 	}
@@ -59,7 +63,7 @@
 		Vm: c.g.settings.VM, FailureDomain: c.g.settings.FailureDomain, Ip: c.g.settings.IP,
 		Incarnation: c.g.incarnation, Sequence: c.sequence, CallersAddress: c.g.settings.Listen.Callers,
 		Serving: c.g.view.Load().ready, Leaving: c.g.leaving.Load(),
-		OperatorsNext: c.operators.NextOffset(), ServersNext: c.servers.NextOffset(), Fence: c.g.experts.Fence(),
+		OperatorsNext: c.operators.NextOffset(), ServersNext: c.servers.NextOffset(), Fence: fence, Successor: c.successor,
 		OperatorsAgeMs: -1, ServersAgeMs: -1,
 		OperatorsChanged: c.operatorsChangedAt, ServersChanged: c.serversChangedAt,
 		InFlight: c.g.fleet.inFlight(), RateLimits: c.g.fleet.rateLimitReports(now),
--- a/spec/mapswitch.pml
+++ b/spec/mapswitch.pml
@@ -13,7 +13,8 @@
  *
  * Ranks refuse orders with a fence lower than the highest they have seen (REFUSED). Coordinator c
  * creates the versions 2c+1 and 2c+2. A survey reads all ranks once and is followed by up to
- * ROUNDS rounds of orders, in which only the state of ranks that received an order is updated.
+ * ROUNDS rounds of orders, in which only the state of ranks that received an order is updated. A
+ * coordinator may take over a version that all ranks have prepared as its target.
  *
  * Omitted: a failure of the group (a new epoch has map 0 and nothing prepared, armed or held, and
  * orders of another epoch have no effect there), and the time that a copy takes: a version is
@@ -300,6 +301,17 @@
 	}
 }
 
+/* takeOver makes the version that all ranks have prepared the target. With the mutant one rank is
+ * enough, and the other one is ordered to prepare it with another map. */
+#ifdef MUTANT_TAKE_OVER_ANY
+#define CAN_TAKE_OVER (v[0].prep > v[0].map && v[0].armed == NONE && v[0].held == NONE)
+#else
+#define CAN_TAKE_OVER (v[0].prep > v[0].map && v[1].prep == v[0].prep && v[RANKS-1].prep == v[0].prep && \
+	v[1].prep > v[1].map && v[RANKS-1].prep > v[RANKS-1].map && !fromReport && \
+	v[0].armed == NONE && v[1].armed == NONE && v[RANKS-1].armed == NONE && \
+	v[0].held == NONE && v[1].held == NONE && v[RANKS-1].held == NONE)
+#endif
+
 /* send sends a rank its order, which is executed and answered, lost, or late. */
 inline send(r) {
 	if
@@ -345,6 +357,10 @@
 #endif
 		:: atomic { read[0] && read[1] && read[RANKS-1] -> read[0] = false; read[1] = false; read[RANKS-1] = false } break
 		od;
+		if
+		:: atomic { CAN_TAKE_OVER && target != v[0].prep -> target = v[0].prep }
+		:: true -> skip
+		fi;
 		do
 		:: rounds < ROUNDS ->
 			rounds++;
