--- a/decide/straggler/straggler_test.go
+++ b/decide/straggler/straggler_test.go
@@ -53,7 +53,7 @@
 		{"one event left", "slow", 12, ownPart, func(r *straggler.Request) { r.EventsLeft = 1 }, false},
 		{"length unknown", "slow", 12, ownPart, func(r *straggler.Request) { r.EventsLeft = -1 }, true},
 		{"not begun", "slow", 12, ownPart, func(r *straggler.Request) { r.HasBegun = false }, true},
-		{"not begun, just sent", "slow", 12, ownPart, func(r *straggler.Request) { r.HasBegun, r.Waited = false, 100 * ms }, false},
+		{"not begun, just sent", "slow", 12, ownPart, func(r *straggler.Request) { r.HasBegun, r.Waited = false, 100*ms }, false},
 		{"not begun, no objective", "slow", 12, ownPart, func(r *straggler.Request) { r.HasBegun, r.Objective = false, 0 }, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
