Let the named successor take over from a coordinator that stalls

Each part had its test, the choice as a whole had none.

Change: peering.Table.Coordinates decides as a whole; the successor of a coordinator that misses heartbeats coordinates whatever its IP. TestTheSuccessorCoordinatesFirst is red without it.

--- a/coord/peering/successor.go
+++ b/coord/peering/successor.go
@@ -47,3 +47,32 @@
 	}
 	return usual
 }
+
+// Coordinates reports whether this entry is to coordinate. Where engines compare fences, a coordinator
+// that misses heartbeats is replaced before it counts as silent, and first by its successor: if it is
+// still alive, its orders are refused.
+func (t *Table) Coordinates(self *api.PeerBeat, enginesCompareFences bool, now time.Duration) bool {
+	candidates := t.Live(now)
+	if enginesCompareFences {
+		if t.succeeds(self, candidates, now) {
+			return true
+		}
+		candidates = t.OnTime(now)
+	}
+	return SelectCoordinator(self, candidates) == self.GetIp()
+}
+
+// succeeds reports whether the coordinator among the live entries has named this one its successor and
+// misses heartbeats.
+func (t *Table) succeeds(self *api.PeerBeat, live []*api.PeerBeat, now time.Duration) bool {
+	var coordinator *api.PeerBeat
+	for _, b := range live {
+		if b.GetFence() > coordinator.GetFence() {
+			coordinator = b
+		}
+	}
+	if coordinator.GetSuccessor() != t.self || !self.GetServing() || self.GetLeaving() || self.GetFence() > coordinator.GetFence() {
+		return false
+	}
+	return !t.peers[coordinator.GetIp()].heardWithin(t.cfg.SuccessorSilence, now)
+}
--- a/coord/peering/successor_test.go
+++ b/coord/peering/successor_test.go
@@ -97,3 +97,51 @@
 		t.Errorf("%d heartbeats to the former successor and %d to another entry", n, other)
 	}
 }
+
+// The coordinator of many entries stalls. Its successor, which has no special IP, must coordinate at
+// once, and all others stay out of it until the coordinator is silent for all.
+func TestTheSuccessorCoordinatesFirst(t *testing.T) {
+	const coordinatorIP, successorIP, lowestIP = "10.1.0.7", "10.1.0.20", "10.1.0.0"
+	tableOf := func(self string) *Table {
+		table := New(self, Config{})
+		for i := range 36 {
+			b := heartbeat(unpackIP(0x0a010000+uint32(i)), 1, 1)
+			if b.GetIp() == coordinatorIP {
+				b.Fence, b.Successor = 3, successorIP
+			}
+			table.HandleHeartbeat(b, 0)
+		}
+		return table
+	}
+	// Heartbeats of all but the coordinator go on.
+	hear := func(table *Table, at time.Duration) {
+		for i := range 36 {
+			if ip := unpackIP(0x0a010000 + uint32(i)); ip != coordinatorIP {
+				table.HandleHeartbeat(heartbeat(ip, 1, uint64(1+at/msec)), at)
+			}
+		}
+	}
+	for _, c := range []struct {
+		self                string
+		at                  int
+		comparesFences      bool
+		leaving, wantDuties bool
+	}{
+		{successorIP, 350, true, false, false},
+		{successorIP, 351, true, false, true},
+		{successorIP, 351, true, true, false},
+		{successorIP, 351, false, false, false},
+		{lowestIP, 351, true, false, false},
+		{lowestIP, 1200, true, false, false},
+		{lowestIP, 1201, true, false, true},
+		{lowestIP, 1201, false, false, true},
+	} {
+		table := tableOf(c.self)
+		hear(table, ms(c.at))
+		self := &api.PeerBeat{Ip: c.self, Serving: true, Leaving: c.leaving}
+		if got := table.Coordinates(self, c.comparesFences, ms(c.at)); got != c.wantDuties {
+			t.Errorf("%s coordinates %d ms after the last heartbeat (fences compared: %v, leaving: %v): %v, want %v",
+				c.self, c.at, c.comparesFences, c.leaving, got, c.wantDuties)
+		}
+	}
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -324,7 +324,7 @@
 		}
 	}
 	self := &api.PeerBeat{Ip: c.g.settings.IP, Serving: ready, Leaving: c.g.leaving.Load(), Fence: c.g.experts.Fence()}
-	v.isCoordinator = peering.SelectCoordinator(self, c.coordinatorCandidates(live, now)) == c.g.settings.IP
+	v.isCoordinator = c.peers.Coordinates(self, c.g.settings.Bounds.RequireFencing, now)
 	for _, b := range live {
 		v.takenOver = v.takenOver || b.GetFence() > self.GetFence()
 	}
--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/go-kit/log/level"
 
 	"github.com/apricothub/apricothub/api"
@@ -10,15 +8,6 @@
 	"github.com/apricothub/apricothub/internal/experts"
 )
 
-// coordinatorCandidates returns the other entries that may coordinate. Where engines compare
-// fences, a silent coordinator is replaced early: if it is still alive, its orders are refused.
-func (c *control) coordinatorCandidates(live []*api.PeerBeat, now time.Duration) []*api.PeerBeat {
-	if c.g.settings.Bounds.RequireFencing {
-		return c.peers.OnTime(now)
-	}
-	return live
-}
-
 // engines returns the engines that have experts. Engines that drain or whose failure domain is out
 // are still ranks of their group.
 func (c *control) engines() []experts.Engine {
