--- a/test/fakeplatform/store.go
+++ b/test/fakeplatform/store.go
@@ -171,16 +171,26 @@
 	Service  string  `json:"service"`
 	// MaxPauseMs is the longest pause between two events for which a stream is on time; zero for none.
 	MaxPauseMs float64 `json:"gap-aim-ms,omitempty"`
+	// Priority is the route's priority; 0 is the highest.
+	Priority int `json:"priority"`
+}
+
+// Team is a team in a published configuration.
+type Team struct {
+	Name string   `json:"name"`
+	Keys []string `json:"api-keys"`
+	// Priority takes precedence over that of routes; nil for none.
+	Priority *int `json:"priority,omitempty"`
 }
 
 // Routes returns one route of each kind, and one with a short timeout.
 func Routes() []Route {
 	return []Route{
-		{"push", "h.example", "/push/", "non_idempotent", 5000, 3, false, "app", 0},
-		{"look", "h.example", "/look/", "idempotent", 5000, 2, false, "app", 0},
-		{"draft", "h.example", "/draft/", "stream", 8000, 2, true, "app", 0},
-		{"chat", "h.example", "/chat/", "stream", 8000, 2, false, "app", 0},
-		{"quick", "h.example", "/quick/", "idempotent", 300, 1, false, "app", 0},
+		{"push", "h.example", "/push/", "non_idempotent", 5000, 3, false, "app", 0, 0},
+		{"look", "h.example", "/look/", "idempotent", 5000, 2, false, "app", 0, 0},
+		{"draft", "h.example", "/draft/", "stream", 8000, 2, true, "app", 0, 0},
+		{"chat", "h.example", "/chat/", "stream", 8000, 2, false, "app", 0, 0},
+		{"quick", "h.example", "/quick/", "idempotent", 300, 1, false, "app", 0, 0},
 	}
 }
 
@@ -215,11 +225,16 @@
 
 // ConfigureServices publishes a configuration with services and one team, north.
 func (s *Store) ConfigureServices(version int, services []Service, routes []Route, keys ...string) {
+	s.ConfigureTeams(version, services, routes, []Team{{Name: "north", Keys: keys}})
+}
+
+// ConfigureTeams publishes a configuration with services and teams.
+func (s *Store) ConfigureTeams(version int, services []Service, routes []Route, teams []Team) {
 	cfg, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes,
 		"services": services,
 		"limits":   map[string]any{"max-body-bytes": 1 << 20},
-		"tenants":  []map[string]any{{"name": "north", "api-keys": keys}},
+		"tenants":  teams,
 	})
 	if err != nil {
 		panic(err)
