Serve competing kinds of requests in the order of their urgency

Cause: with more load than engines take, all requests waited alike inside the engines. A team's priority replaced that of the route, so that neither the entry's queue nor an engine could tell kinds apart, and guarantees of teams started everything at once.

Change: requests have a rank, by the team's priority and then the route's, which engines are told. While more run and wait at all entries than fit the engines, each entry works out the same fraction of each rank that may run (decide/urgency), from counts in heartbeats. decide/admit starts by rank, then by what can still be on time, by share and by deadline, and refuses at once what would not start within its caller's patience. Only for engines whose requests differ in rank.

Ruled out, with figures in docs/design/urgency.md: a congestion window at each entry, which leaves urgent requests waiting at one entry while another has room for bulk; fewer places than slots, which refuses what would have been served late; ranks without division.

TestEnginesAreToldTheUrgencyOfEachKind: both kinds had urgency 1 before.

--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -113,8 +113,13 @@
 	Offer string
 	// Deadline is when the complete answer is due, on the clock of the methods' now argument.
 	Deadline time.Duration
-	// Priority orders the requests of one customer; higher goes first.
+	// Priority orders the requests of one customer; higher goes first. While starts are limited, it orders
+	// the requests of all customers.
 	Priority int
+	// OnTimeBy is when the request must start at the latest to be answered on time; zero for unknown.
+	// MaxWait is the longest expected wait with which it is accepted while starts are limited; zero for
+	// Config.MaxWait.
+	OnTimeBy, MaxWait time.Duration
 }
 
 // Action is what to do with a request.
@@ -233,7 +238,7 @@
 	o := a.offer(r.Offer)
 	c := o.customer(a, share)
 	guaranteed := c.waiting.Len() == 0 && o.isGuaranteed(now, c)
-	if guaranteed || o.running < o.slots && o.waiting == 0 {
+	if guaranteed || o.hasSlotFor(r.Priority) {
 		o.overload.record(now, false)
 		return o.start(now, a.track(now, o, c, r), guaranteed)
 	}
@@ -262,6 +267,9 @@
 	if o.availability == Available && o.slots == 0 && o.running == 0 && o.totalSlots == 0 {
 		return a.refuse(api.ResultCode_NO_BACKEND, a.cfg.MinRetryAfter), true
 	}
+	if o.urgency.isLimited() && o.availability == Available {
+		return a.limitedRefusal(now, o, c, r)
+	}
 	work := o.workTimeOr(a.cfg.DefaultWorkTime)
 	wait := o.expectedWait(c, work)
 	lateBy := now + wait + a.requiredTime(o) - r.Deadline
@@ -300,7 +308,7 @@
 }
 
 func (a *Admitter) track(now time.Duration, o *offer, c *customer, r Request) *request {
-	tracked := &request{id: r.ID, arrived: now, offer: o, customer: c, deadline: r.Deadline, priority: r.Priority}
+	tracked := &request{id: r.ID, arrived: now, offer: o, customer: c, deadline: r.Deadline, onTimeBy: r.OnTimeBy, priority: r.Priority}
 	a.requests[r.ID] = tracked
 	return tracked
 }
--- a/decide/admit/guarantee.go
+++ b/decide/admit/guarantee.go
@@ -20,7 +20,7 @@
 func (o *offer) guarantee(now time.Duration, c *customer) int {
 	c.guaranteeRatio = min(c.guaranteeRatio+guaranteeRecoveryPerSecond*(now-c.guaranteeUpdatedAt).Seconds(), 1)
 	c.guaranteeUpdatedAt = now
-	if o.availability != Available {
+	if o.availability != Available || o.urgency.isLimited() {
 		return 0 // No backend server can take the requests.
 	}
 	return int(float64(o.totalSlots) * c.share * c.guaranteeRatio)
--- a/decide/admit/next.go
+++ b/decide/admit/next.go
@@ -47,7 +47,11 @@
 	}
 	o.freedCustomers = o.freedCustomers[:0]
 	for o.running < o.slots && o.waiting > 0 {
-		out = append(out, o.release(now, o.head()))
+		r := o.next(now)
+		if r == nil {
+			break
+		}
+		out = append(out, o.release(now, r))
 	}
 	return out
 }
@@ -91,7 +95,7 @@
 		return false
 	}
 	o := r.offer
-	o.addRunning(r.customer, -1)
+	o.addRunning(r, -1)
 	r.running = false
 	o.slots = min(o.slots, o.running)
 	if r.guaranteed && o.availability == Available {
--- a/decide/admit/offer.go
+++ b/decide/admit/offer.go
@@ -34,6 +34,7 @@
 	// freedCustomers are customers with waiting requests of which one has ended.
 	freedCustomers []*customer
 	overload       overloadDetector
+	urgency        urgency
 	// avgWorkTime is a moving average of the time for which a request holds its slot, including its
 	// wait at the agent. expectedWorkTime is used until it is known; zero for the default.
 	avgWorkTime, expectedWorkTime time.Duration
@@ -60,6 +61,8 @@
 	plan    *plan
 	weight  float64
 	running int
+	// runningByPriority counts the running requests by priority.
+	runningByPriority map[int]int
 	// share is the customer's fraction of the total capacity, and guaranteeRatio the fraction of
 	// that share which is guaranteed, as of guaranteeUpdatedAt.
 	share              float64
@@ -80,6 +83,7 @@
 	customer *customer
 	arrived  time.Duration
 	deadline time.Duration
+	onTimeBy time.Duration
 	priority int
 	running  bool
 	// guaranteed is set if the request was started under the customer's guarantee.
@@ -90,7 +94,7 @@
 }
 
 func newOffer(key string) *offer {
-	o := &offer{key: key, plans: make(map[string]*plan)}
+	o := &offer{key: key, plans: make(map[string]*plan), urgency: newUrgency()}
 	o.ready = heap.Heap[*plan]{Less: planLess, Moved: func(p *plan, i int) { p.index = i }}
 	o.expiry = heap.Heap[*request]{Less: expiryLess, Moved: func(r *request, i int) { r.expiryIndex = i }}
 	return o
@@ -103,7 +107,7 @@
 }
 
 func newCustomer(p *plan, share CustomerShare) *customer {
-	c := &customer{name: share.Name, plan: p, weight: max(share.Weight, minShare), guaranteeRatio: 1, index: -1}
+	c := &customer{name: share.Name, plan: p, weight: max(share.Weight, minShare), guaranteeRatio: 1, index: -1, runningByPriority: make(map[int]int)}
 	c.waiting = heap.Heap[*request]{Less: requestLess, Moved: func(r *request, i int) { r.queueIndex = i }}
 	return c
 }
@@ -254,14 +258,17 @@
 	r.running = true
 	r.guaranteed = guaranteed
 	r.started = now
-	o.addRunning(r.customer, 1)
+	o.addRunning(r, 1)
 	return Decision{Action: Start, Guaranteed: guaranteed}
 }
 
 // addRunning changes the number of running requests and updates the heaps ordered by it.
-func (o *offer) addRunning(c *customer, delta int) {
+func (o *offer) addRunning(r *request, delta int) {
+	c := r.customer
 	o.running += delta
 	c.running += delta
+	addCount(c.runningByPriority, r.priority, delta)
+	addCount(o.urgency.running, r.priority, delta)
 	c.plan.running += delta
 	if c.index >= 0 {
 		c.plan.ready.Fix(c.index)
@@ -276,6 +283,7 @@
 	o.activate(c)
 	c.waiting.Push(r)
 	o.expiry.Push(r)
+	addCount(o.urgency.waiting, r.priority, 1)
 	o.waiting++
 	c.plan.waiting++
 	if c.index < 0 {
@@ -292,6 +300,7 @@
 	c := r.customer
 	c.waiting.Remove(r.queueIndex)
 	o.expiry.Remove(r.expiryIndex)
+	addCount(o.urgency.waiting, r.priority, -1)
 	o.waiting--
 	c.plan.waiting--
 	if c.waiting.Len() == 0 {
@@ -303,7 +312,7 @@
 }
 
 func (o *offer) finish(r *request) {
-	o.addRunning(r.customer, -1)
+	o.addRunning(r, -1)
 	if r.customer.waiting.Len() > 0 {
 		o.freedCustomers = append(o.freedCustomers, r.customer)
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -129,6 +129,7 @@
 	if a.answer.NotRun {
 		return a.discardRefusal()
 	}
+	a.g.fleet.recordBegun(a.t.service, clock.Now()-sentAt)
 	if a.t.route.Kind == routing.Stream && a.resp.StatusCode == http.StatusOK && isEventStream(a.resp.Header) {
 		return a.passOnEvents()
 	}
@@ -163,7 +164,7 @@
 		Host: t.host,
 		Header: platform.OutgoingHeader(t.header, platform.BackendRequest{
 			Server: a.server.ID, Team: t.team, TimeLeft: timeLeft(t.deadline, clock.Now()),
-			Priority: t.priority, ResumeAfter: resumeAfter,
+			Urgency: t.rank, ResumeAfter: resumeAfter,
 		}),
 		ContentLength: int64(len(t.body)),
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/apricothub/apricothub/decide/silence"
 	"github.com/apricothub/apricothub/decide/straggler"
 	"github.com/apricothub/apricothub/decide/throttle"
+	"github.com/apricothub/apricothub/decide/urgency"
 	"github.com/apricothub/apricothub/internal/experts"
 	"github.com/apricothub/apricothub/internal/routing"
 )
@@ -83,6 +84,13 @@
 	engines map[string]bool
 	// callTimes are the expected times of a call to each service; zero for streams.
 	callTimes map[string]time.Duration
+	// demands holds the demand of the other entries for each service whose requests differ in priority.
+	demands map[string]*urgency.Table
+	// divided are the services whose slots are divided by urgency now.
+	divided map[string]bool
+	// firstEventDelays are the moving averages of the time until a request at a server has its first
+	// event, by service.
+	firstEventDelays map[string]time.Duration
 	// refusing are the services for which this entry has observed that no server accepts work.
 	refusing map[string]bool
 	// confirmed are the lock-step services that have been marked as refusing once, when this process
@@ -104,6 +112,8 @@
 	// ejections counts how often a server was ejected, limitsStated how often one began to state a rate
 	// limit or changed it, restsAsked how often one asked for rest.
 	ejections, limitsStated, restsAsked metrics.Counter
+	// divisions counts how often the slots of a service began to be divided by urgency.
+	divisions metrics.Counter
 }
 
 // server is one backend server.
@@ -141,30 +151,34 @@
 		limits: l,
 		rng:    rng,
 		// Reports here are the other entries' own counts, a fraction of a second old.
-		table:           place.NewTable(rng, place.Config{QueueRatio: serverQueueRatio, TrustStaleReports: true}),
-		ejector:         eject.New(eject.Config{}),
-		silenceDetector: silence.New(silence.Config{}),
-		stragglers:      straggler.New(straggler.Config{}),
-		engines:         make(map[string]bool),
-		servers:         make(map[string]*server),
-		removedAt:       make(map[string]time.Duration),
-		budgets:         make(map[string]*place.RetryBudget),
-		rateLimits:      throttle.New(self, rng),
-		resting:         rest.New(),
-		entries:         1,
-		maybeLive:       1,
-		admitter:        admit.New(admit.Config{MaxQueue: maxQueued, MaxWait: maxQueueWait, MaxRetryAfter: maxRetryAfter, BacklogStartsTogether: true}),
-		queue:           make(map[uint64]*queuedRequest),
-		running:         make(map[string]int),
-		queued:          make(map[string]int),
-		slotStates:      make(map[string]slotState),
-		outSince:        make(map[string]time.Duration),
-		logger:          log.NewNopLogger(),
-		ejections:       metrics.NilCounter{},
-		limitsStated:    metrics.NilCounter{},
-		restsAsked:      metrics.NilCounter{},
-		refusing:        make(map[string]bool),
-		confirmed:       make(map[string]bool),
+		table:            place.NewTable(rng, place.Config{QueueRatio: serverQueueRatio, TrustStaleReports: true}),
+		ejector:          eject.New(eject.Config{}),
+		silenceDetector:  silence.New(silence.Config{}),
+		stragglers:       straggler.New(straggler.Config{}),
+		engines:          make(map[string]bool),
+		servers:          make(map[string]*server),
+		removedAt:        make(map[string]time.Duration),
+		budgets:          make(map[string]*place.RetryBudget),
+		rateLimits:       throttle.New(self, rng),
+		resting:          rest.New(),
+		entries:          1,
+		maybeLive:        1,
+		admitter:         admit.New(admit.Config{MaxQueue: maxQueued, MaxWait: maxQueueWait, MaxRetryAfter: maxRetryAfter, BacklogStartsTogether: true}),
+		queue:            make(map[uint64]*queuedRequest),
+		running:          make(map[string]int),
+		queued:           make(map[string]int),
+		slotStates:       make(map[string]slotState),
+		outSince:         make(map[string]time.Duration),
+		divided:          make(map[string]bool),
+		demands:          make(map[string]*urgency.Table),
+		firstEventDelays: make(map[string]time.Duration),
+		logger:           log.NewNopLogger(),
+		ejections:        metrics.NilCounter{},
+		limitsStated:     metrics.NilCounter{},
+		restsAsked:       metrics.NilCounter{},
+		divisions:        metrics.NilCounter{},
+		refusing:         make(map[string]bool),
+		confirmed:        make(map[string]bool),
 	}
 }
 
@@ -191,6 +205,9 @@
 		if cfg.Service(service) == nil {
 			delete(f.slotStates, service)
 			delete(f.outSince, service)
+			delete(f.demands, service)
+			delete(f.divided, service)
+			delete(f.firstEventDelays, service)
 		}
 	}
 	old := f.servers
@@ -216,6 +233,7 @@
 		s.service = service
 		f.engines[r.Service] = service.Engine != nil
 		f.callTimes[r.Service] = cfg.CallTime(r.Service)
+		f.setDemandTable(r.Service, cfg)
 		f.limitArrivals(s, now)
 		f.servers[r.ID] = s
 		f.byHash[s.hash] = s
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,6 +118,7 @@
 		stopped:         make(chan struct{}),
 	}
 	g.fleet.ejections, g.fleet.limitsStated, g.fleet.restsAsked = counters.ejected, counters.limited, counters.rested
+	g.fleet.divisions = counters.divisions
 	g.fleet.logger = logging.Part(logger, "servers")
 	g.readsStore.Store(true)
 	g.experts = experts.New(s.VM, s.PeerPort, g, g.store, logging.Part(logger, "experts"))
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -33,8 +33,9 @@
 	route             *routing.Route
 	service           string
 	team              string
-	priority          int
-	arrivedAt         time.Duration
+	// rank is the request's place in the order of urgency; 0 is the most urgent.
+	rank      int
+	arrivedAt time.Duration
 	// deadline is when this entry gives up, the earlier of the caller's deadline and the route's
 	// timeout; zero for never.
 	deadline time.Duration
@@ -124,7 +125,6 @@
 	if t.route == nil {
 		return result.New(api.ResultCode_UNKNOWN_ADDRESS)
 	}
-	t.priority = t.route.Priority
 	if err := t.findTeam(v.table); err != nil {
 		return err
 	}
@@ -135,7 +135,9 @@
 	return t.readBody(r, v.table.Limits.BodyBytes)
 }
 
+// findTeam finds the team of a request and its rank.
 func (t *task) findTeam(table *routing.Table) *result.Error {
+	t.rank = table.Rank(t.route, nil)
 	if !table.HasTeams() {
 		return nil
 	}
@@ -146,10 +148,7 @@
 		}
 		return result.New(api.ResultCode_UNKNOWN_KEY)
 	}
-	t.team = team.Name
-	if team.Priority != nil {
-		t.priority = *team.Priority
-	}
+	t.team, t.rank = team.Name, table.Rank(t.route, team)
 	return nil
 }
 
@@ -335,14 +334,14 @@
 	missed := t.missedObjective()
 	if missed != onTime {
 		g.metrics.late.Inc(1)
-		g.metrics.countLate(missed)
+		g.metrics.countLate(missed, t.rank)
 	}
 	g.metrics.took.Update(t.elapsed().Milliseconds())
 	g.metrics.waited.Update(t.waited.Milliseconds())
 	if t.out.begunAt > 0 {
 		g.metrics.firstEvent.Update((t.out.begunAt - t.arrivedAt).Milliseconds())
 	}
-	g.metrics.countEnded(t.route.Kind.String(), t.team, true)
+	g.metrics.countEnded(t.route.Kind.String(), t.team, t.rank, true)
 	g.logServed(t, server, missed)
 }
 
@@ -350,7 +349,7 @@
 func (g *Gateway) refuse(t *task, err *result.Error) {
 	g.metrics.countResult(err.Code)
 	if t.route != nil {
-		g.metrics.countEnded(t.route.Kind.String(), t.team, false)
+		g.metrics.countEnded(t.route.Kind.String(), t.team, t.rank, false)
 	}
 	g.logEnd(t, "A request was refused.", err.Code)
 	h := t.out.w.Header()
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -26,6 +26,7 @@
 	}
 	c.g.fleet.setOthersInFlight(c.peerLoads.Set(b.GetIp(), peering.InFlight(b)), c.peerLoads, now)
 	c.g.fleet.recordRateLimitReports(b.GetRateLimits(), now)
+	c.g.fleet.setDemands(b.GetIp(), b.GetDemands(), now)
 	for _, s := range b.GetLeavingServers() {
 		c.markLeaving(registry.Start{ID: s.GetId(), StartedAtUnixMs: s.GetStartedAtUnixMs()}, now)
 	}
@@ -67,6 +68,7 @@
 		OperatorsAgeMs: -1, ServersAgeMs: -1,
 		OperatorsChanged: c.operatorsChangedAt, ServersChanged: c.serversChangedAt,
 		InFlight: c.g.fleet.inFlight(), RateLimits: c.g.fleet.rateLimitReports(now),
+		Demands: c.g.fleet.ownDemands(),
 	}
 	if c.g.readsStore.Load() {
 		b.OperatorsAgeMs = (now - c.operatorsAt).Milliseconds()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"github.com/rcrowley/go-metrics"
@@ -23,6 +24,8 @@
 	// limited counts rate limits that backend servers began to state or changed, rested their requests for
 	// rest.
 	limited, rested metrics.Counter
+	// divisions counts how often the slots of a service began to be divided by urgency.
+	divisions metrics.Counter
 	// silentVMs counts VMs of backend servers that went silent. moved counts the requests that were moved
 	// to another server, movedFromSlow those of them that left a slow one.
 	silentVMs, moved, movedFromSlow     metrics.Counter
@@ -52,6 +55,7 @@
 		silentVMs:     metrics.NewRegisteredCounter("gateway.servers.silent", r),
 		moved:         metrics.NewRegisteredCounter("gateway.attempts.moved", r),
 		movedFromSlow: metrics.NewRegisteredCounter("gateway.attempts.moved.slow", r),
+		divisions:     metrics.NewRegisteredCounter("gateway.urgency.divided", r),
 		storeReads:    metrics.NewRegisteredCounter("gateway.store.reads", r),
 		storeWrites:   metrics.NewRegisteredCounter("gateway.store.writes", r),
 		storeFailures: metrics.NewRegisteredCounter("gateway.store.failed", r),
@@ -73,19 +77,26 @@
 	otherTeams = "OTHERS"
 	// latePrefix begins the names of the counters of late answers by the objective that was missed.
 	latePrefix = "gateway.late."
+	// rankPrefix begins the names of the counters by rank.
+	rankPrefix = "gateway.rank."
 )
 
-// countLate counts a late answer by the objective that it missed.
-func (c *counters) countLate(missed lateness) {
+// countLate counts a late answer by the objective that it missed, and by rank.
+func (c *counters) countLate(missed lateness, rank int) {
 	metrics.GetOrRegisterCounter(latePrefix+string(missed), c.registry).Inc(1)
+	metrics.GetOrRegisterCounter(rankName(rank)+".late", c.registry).Inc(1)
 }
 
-// countEnded counts a request by kind, team and whether the caller got a backend server's answer.
-func (c *counters) countEnded(kind, team string, served bool) {
+// rankName returns the beginning of the names of the counters of a rank.
+func rankName(rank int) string { return rankPrefix + strconv.Itoa(min(rank, maxRanks-1)) }
+
+// countEnded counts a request by kind, team, rank and whether the caller got a backend server's answer.
+func (c *counters) countEnded(kind, team string, rank int, served bool) {
 	outcome := ".refused"
 	if served {
 		outcome = ".served"
 	}
+	metrics.GetOrRegisterCounter(rankName(rank)+outcome, c.registry).Inc(1)
 	metrics.GetOrRegisterCounter(kindPrefix+kind+outcome, c.registry).Inc(1)
 	metrics.GetOrRegisterCounter(teamPrefix+c.teamLabel(team)+outcome, c.registry).Inc(1)
 }
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -76,7 +76,12 @@
 		f.admitter.ExpectSlots(key, concurrency/f.entries)
 		f.admitter.ExpectWorkTime(key, f.callTimes[service])
 		f.admitter.SetTotalCapacity(key, capacity, f.entries)
-		f.admitter.SetCapacity(key, admit.EntrySlots(f.running[service], free, capacity, f.entries))
+		slots := admit.EntrySlots(f.running[service], free, capacity, f.entries)
+		if f.divideByUrgency(service, capacity, now) {
+			// The ratios limit starts.
+			slots = f.running[service] + maxQueued
+		}
+		f.admitter.SetCapacity(key, slots)
 		f.slotStates[service] = slotState{free: free, capacity: capacity, registered: concurrency, countedAt: now}
 	}
 	f.releaseQueued(now)
@@ -209,7 +214,8 @@
 		waitUntil: now + maxWait, admitted: make(chan admission, 1),
 	}
 	d := f.admitter.Admit(now, admit.Request{
-		ID: id, Customer: t.team, Offer: offer(t.service), Deadline: deadline, Priority: -t.priority,
+		ID: id, Customer: t.team, Offer: offer(t.service), Deadline: deadline, Priority: -t.rank,
+		OnTimeBy: f.onTimeBy(t), MaxWait: maxWait,
 	})
 	if d.Action == admit.Refuse {
 		f.mu.Unlock()
--- a/internal/logging/keys.go
+++ b/internal/logging/keys.go
@@ -92,6 +92,9 @@
 	{"registered", "number of slots at all servers of the service that neither drain nor are in a failure domain that is out"},
 	{"running", "number of requests of the service that this entry has in flight"},
 	{"waiting", "number of requests of the service queued at this entry"},
+	{"urgency", "least urgent rank whose requests are limited; 0 is the most urgent"},
+	{"ratio", "fraction of that rank's requests that may run, of those that run or wait at all entries"},
+	{"demand", "requests of that rank that run or wait at this entry"},
 	{"entries", "number of live entries, among which the slots are divided"},
 }}, {SectionServer, "a backend server, VM or failure domain", []Key{
 	{"server", "id of the backend server"},
--- a/internal/logging/sentences_test.go
+++ b/internal/logging/sentences_test.go
@@ -27,6 +27,8 @@
 	"A registration is new or has changed.":                                         true,
 	"The load limit of a backend server has changed.":                               true,
 	"A backend server is too slow for requests. Those that run there may leave it.": true,
+	"The slots of a service are divided by urgency.":                                true,
+	"All requests for a service fit its slots again.":                               true,
 	"A backend server is fast enough for requests again.":                           true,
 	"A map that an earlier coordinator has prepared is taken over.":                 true,
 	"The successor of the coordinator has changed.":                                 true,
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -150,7 +150,7 @@
 type Team struct {
 	Name string
 	Keys []string
-	// Priority overrides the priority of the route; nil means that it does not.
+	// Priority takes precedence over the priority of the route; nil for none.
 	Priority *int
 }
 
@@ -172,7 +172,10 @@
 	keys      map[string]*Team
 	maxPauses map[string]time.Duration
 	callTimes map[string]time.Duration
-	teamCount int
+	// ranks holds the ranks of requests by priorities, rankCounts the number of ranks by service.
+	ranks      map[rankKey]int
+	rankCounts map[string]int
+	teamCount  int
 }
 
 // NewTable returns the Table of a configuration, which must not change afterwards.
@@ -185,6 +188,7 @@
 		keys:      make(map[string]*Team),
 		maxPauses: make(map[string]time.Duration),
 		callTimes: make(map[string]time.Duration),
+
 		teamCount: len(cfg.Teams),
 	}
 	for i := range cfg.Routes {
@@ -211,6 +215,7 @@
 			t.keys[key] = &cfg.Teams[i]
 		}
 	}
+	t.setRanks(cfg)
 	return t
 }
 
