--- a/test/site_soak_faults_test.go
+++ b/test/site_soak_faults_test.go
@@ -94,6 +94,21 @@
 		b.pauseAndContinue(b.agents[rank])
 		b.group.ResumeVM(rank)
 	}},
+	{"engine slow", func(b *faultInjector) {
+		rank := b.randomRank()
+		b.group.SetPace(rank, slowPace)
+		b.sleepRandomly()
+		b.group.SetPace(rank, 1)
+	}},
+	{"engine slow and fast by turns", func(b *faultInjector) {
+		rank := b.randomRank()
+		for range 3 {
+			b.group.SetPace(rank, slowPace)
+			time.Sleep(400 * time.Millisecond)
+			b.group.SetPace(rank, 1)
+			time.Sleep(400 * time.Millisecond)
+		}
+	}},
 	{"rank lost", func(b *faultInjector) { b.group.Crash(b.randomRank(), 300*time.Millisecond) }},
 	{"orders lost and late", func(b *faultInjector) {
 		b.group.SetOrderFaults(fakeplatform.OrderFaults{LostAnswers: 0.1, Delayed: 0.1, MaxDelay: 3 * time.Second})
--- a/test/site_soak_test.go
+++ b/test/site_soak_test.go
@@ -128,7 +128,7 @@
 	routes := fakeplatform.Routes()
 	for i := range routes {
 		if routes[i].Name == "draft" {
-			routes[i].Service = "drafts"
+			routes[i].Service, routes[i].MaxPauseMs = "drafts", float64(slowEnginePause.Milliseconds())
 		}
 	}
 	services := []fakeplatform.Service{
