Count shares of teams in places while starts are limited

Cause: while the fractions of ranks limit starts, the entry sets its slots far above what may run, and shares were counted in these slots. No team was ever beyond its share, so that a flood went before the others' requests of its kind. Found by reading; the load test had no such slots.

Change: shares are counted in what may run.

TestSharesAreCountedInPlaces is red without it.

--- a/decide/admit/presence.go
+++ b/decide/admit/presence.go
@@ -63,8 +63,11 @@
 // deadline a minute away would be refused as unreachable. If no number is known it is one, as for
 // an agent in cold start.
 func (o *offer) expectedSlots() int {
-	if o.availability == Pending {
+	switch {
+	case o.availability == Pending:
 		return max(o.slots, o.lastSlots, 1)
+	case o.urgency.isLimited():
+		return o.urgency.places()
 	}
 	return o.slots
 }
--- a/decide/admit/urgency.go
+++ b/decide/admit/urgency.go
@@ -62,6 +62,20 @@
 	return int(math.Ceil(ratio * float64(demand)))
 }
 
+// places returns how many requests of all priorities may run.
+func (u *urgency) places() int {
+	sum := 0
+	for p := range u.running {
+		sum += u.allowance(p, 0)
+	}
+	for p := range u.waiting {
+		if u.running[p] == 0 {
+			sum += u.allowance(p, 0)
+		}
+	}
+	return sum
+}
+
 // mayStart reports whether one more request of a priority may run.
 func (u *urgency) mayStart(priority, more int) bool {
 	return u.running[priority] < u.allowance(priority, more)
@@ -121,10 +135,6 @@
 	return float64(running) > o.fairShare(c)
 }
 
-// overShareWaitRatio is the ratio of the longest wait above which requests of customers beyond their
-// share are refused, so that those within it still find a short queue.
-const overShareWaitRatio = 0.5
-
 // limitedRefusal is refusal for an offer whose starts are limited.
 func (a *Admitter) limitedRefusal(now time.Duration, o *offer, c *customer, r Request) (Decision, bool) {
 	isOver := o.isOverShare(c, r.Priority)
@@ -136,13 +146,14 @@
 	if r.MaxWait > 0 {
 		maxWait = r.MaxWait
 	}
-	switch {
-	case wait > maxWait || o.waiting >= a.cfg.MaxQueue:
-		return a.refuseUntilFree(now, o, c, api.ResultCode_SATURATED, wait), true
-	case isOver && wait > time.Duration(overShareWaitRatio*float64(maxWait)):
-		return a.refuseUntilFree(now, o, c, api.ResultCode_OVER_SHARE, wait), true
+	if wait <= maxWait && o.waiting < a.cfg.MaxQueue {
+		return Decision{}, false
+	}
+	code := api.ResultCode_SATURATED
+	if isOver {
+		code = api.ResultCode_OVER_SHARE
 	}
-	return Decision{}, false
+	return a.refuseUntilFree(now, o, c, code, wait), true
 }
 
 // limitedWait is the expected time until one more request of a priority starts, of a customer over or
--- a/decide/admit/urgency_test.go
+++ b/decide/admit/urgency_test.go
@@ -286,3 +286,27 @@
 		t.Errorf("demand %v after the request was cancelled", d)
 	}
 }
+
+// The caller of SetRatios sets more slots than there are, since the ratios limit starts. If shares were
+// counted in slots, no team would ever be beyond its own, and a flood would go before all others.
+func TestSharesAreCountedInPlaces(t *testing.T) {
+	a := limitedAdmitter(1000, nil)
+	for id := range uint64(6) {
+		a.Admit(0, stream(id+1, "a", urgentPriority, 0))
+	}
+	a.SetRatios("m", map[int]float64{urgentPriority: 0.75})
+	flood, other := stream(10, "a", urgentPriority, 0), stream(11, "b", urgentPriority, ms)
+	for _, r := range []Request{flood, other} {
+		r.MaxWait = time.Hour
+		if d := a.Admit(ms, r); d.Action != Wait {
+			t.Fatalf("request %d: %+v", r.ID, d)
+		}
+	}
+	for id := range uint64(3) {
+		a.Done(2*ms, id+1, streamTime)
+	}
+	started := a.Next(2 * ms)
+	if len(started) != 1 || started[0].ID != other.ID {
+		t.Errorf("started %+v, want the request of the team within its share", started)
+	}
+}
