Receive signals before the settings are read

Cause: SIGHUP and SIGTERM were received only once a process had read its settings and opened its log. One that came before ended the process by the signal's default, as when settings change just after a restart; a SIGTERM between the two handlers was swallowed.

Change: both are received first of all. SIGHUP then leads to a second reading, SIGTERM to a graceful shutdown with status 0.

--- a/internal/command/daemon/daemon.go
+++ b/internal/command/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"os"
-	"os/signal"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -57,6 +56,8 @@
 		if path == "" {
 			return cli.UsageErrorf("Name the settings file: -c FILE.")
 		}
+		hangup, stopHangup := receive(syscall.SIGHUP)
+		defer stopHangup()
 		loaded, err := load(path)
 		if err != nil {
 			return err
@@ -72,18 +73,19 @@
 			func(s S) error { return logger.Set(logOf(s).GetLevel()) },
 			logger, loaded,
 		)
-		return runUntilSignal(ctx, r.reloadOnSIGHUP, func(ctx context.Context) error { return serve(ctx, loaded, logger) })
+		return runUntilSignal(ctx, func(ctx context.Context) error { return serve(ctx, loaded, logger) },
+			func(ctx context.Context) error { return r.reloadOnSIGHUP(ctx, hangup) })
 	}}
 }
 
-// runUntilSignal runs serve and reload until the first signal to stop, and returns after a graceful
-// shutdown.
-func runUntilSignal(ctx context.Context, reload, serve func(context.Context) error) error {
+// runUntilSignal runs tasks until one of them ends or the first signal to stop, and returns after a
+// graceful shutdown.
+func runUntilSignal(ctx context.Context, tasks ...func(context.Context) error) error {
 	var group run.Group
 	// The first signal removes the handler, so that a second one ends the process at once. An
 	// operator need not wait for a long drain.
 	group.Add(run.SignalHandler(ctx, syscall.SIGTERM, syscall.SIGINT))
-	for _, task := range []func(context.Context) error{serve, reload} {
+	for _, task := range tasks {
 		taskCtx, cancel := context.WithCancel(ctx)
 		group.Add(func() error { return task(taskCtx) }, func(error) { cancel() })
 	}
@@ -109,10 +111,7 @@
 }
 
 // reloadOnSIGHUP reloads the settings on each SIGHUP until the context ends.
-func (r *reloader[S]) reloadOnSIGHUP(ctx context.Context) error {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+func (r *reloader[S]) reloadOnSIGHUP(ctx context.Context, hangup <-chan os.Signal) error {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/command/daemon/gateway.go
+++ b/internal/command/daemon/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/oklog/run"
 
 	"github.com/apricothub/apricothub/internal/command/cli"
 	"github.com/apricothub/apricothub/internal/logging"
@@ -30,17 +31,17 @@
 	"    SIGINT    The same; a second one stops at once.\n" +
 	"    SIGHUP    Read the settings again, and log what they say.\n"
 
-// ignoreFurtherSIGTERM keeps further SIGTERM signals from ending the process during a graceful
-// shutdown, until the returned function is called.
+// receive returns a channel that receives a signal from now on, until stop is called.
 //
-// The platform may stop a process more than once, for example when a VM is replaced while its zone
-// is taken down, and the second SIGTERM would cut the requests that the first one lets finish. The
-// platform kills the process when the grace period is over; an operator at a terminal can use
-// SIGINT.
-func ignoreFurtherSIGTERM() func() {
+// It is called before anything else: a signal that comes while the process reads its settings would
+// otherwise end it. SIGTERM stays received during a graceful shutdown. The platform may stop a process
+// more than once, for example when a VM is replaced while its zone is taken down, and the second SIGTERM
+// would cut the requests that the first one lets finish. The platform kills the process when the grace
+// period is over; an operator at a terminal can use SIGINT.
+func receive(s os.Signal) (received <-chan os.Signal, stop func()) {
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM)
-	return func() { signal.Stop(signals) }
+	signal.Notify(signals, s)
+	return signals, func() { signal.Stop(signals) }
 }
 
 // platformCommand returns the command of a process whose settings come from the platform and that
@@ -52,6 +53,10 @@
 	sub.String(&minLevel, "l", "log-level", "Least level of the log: debug, info, warn, error or none.")
 	sub.Int(&linesPerSecond, "n", "log-lines", "Most lines of the log in any second; 40 or more.")
 	return &cli.Command{Sub: sub, Run: func(ctx context.Context, out, _ io.Writer) error {
+		terminate, stopTerminate := receive(syscall.SIGTERM)
+		defer stopTerminate()
+		hangup, stopHangup := receive(syscall.SIGHUP)
+		defer stopHangup()
 		loaded, err := platform.LoadSettings()
 		if err != nil {
 			return err
@@ -64,18 +69,26 @@
 			return cli.UsageErrorf("%v.", err)
 		}
 		defer logger.Close()
-		defer ignoreFurtherSIGTERM()()
-		reload := func(ctx context.Context) error { return reloadOnSIGHUP(ctx, logger) }
-		return runUntilSignal(ctx, reload, func(ctx context.Context) error { return serve(ctx, loaded, logger) })
+		return runUntilSignal(ctx,
+			func(ctx context.Context) error { return serve(ctx, loaded, logger) },
+			func(ctx context.Context) error { return reloadOnSIGHUP(ctx, hangup, logger) },
+			func(ctx context.Context) error { return awaitSignal(ctx, terminate) })
 	}}
 }
 
+// awaitSignal returns run.ErrSignal once a signal is received.
+func awaitSignal(ctx context.Context, received <-chan os.Signal) error {
+	select {
+	case <-received:
+		return run.ErrSignal
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // reloadOnSIGHUP reads the platform's settings on each SIGHUP and logs that it did. A running
 // process does not change its addresses or the other settings that it uses.
-func reloadOnSIGHUP(ctx context.Context, logger log.Logger) error {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+func reloadOnSIGHUP(ctx context.Context, hangup <-chan os.Signal, logger log.Logger) error {
 	for {
 		select {
 		case <-ctx.Done():
