Limit ranks beyond the last one that is told apart

Ranks past the tenth counted as the last one in the demand, but were admitted under their own, for which there is no fraction: a configuration with eleven ranks or more let its least urgent requests run whole. Found on reading the change.

--- a/decide/admit/guarantee.go
+++ b/decide/admit/guarantee.go
@@ -20,8 +20,9 @@
 func (o *offer) guarantee(now time.Duration, c *customer) int {
 	c.guaranteeRatio = min(c.guaranteeRatio+guaranteeRecoveryPerSecond*(now-c.guaranteeUpdatedAt).Seconds(), 1)
 	c.guaranteeUpdatedAt = now
+	// Nothing can be guaranteed where no backend server takes requests, or where urgency limits them.
 	if o.availability != Available || o.urgency.isLimited() {
-		return 0 // No backend server can take the requests.
+		return 0
 	}
 	return int(float64(o.totalSlots) * c.share * c.guaranteeRatio)
 }
--- a/internal/gateway/urgency.go
+++ b/internal/gateway/urgency.go
@@ -16,7 +16,7 @@
 const (
 	// demandFreeRatio is the fraction of free slots below which an entry tells the others its demand.
 	demandFreeRatio = 0.35
-	// maxRanks limits the ranks that a heartbeat tells; less urgent ones count as the last.
+	// maxRanks limits the ranks that are told apart; less urgent ones count as the last.
 	maxRanks = 10
 	// firstEventSamples is the number of requests over which the moving average of the time to the first
 	// event runs.
@@ -57,7 +57,7 @@
 func ownDemand(byPriority map[int]int) urgency.Demand {
 	demand := make(urgency.Demand, len(byPriority))
 	for p, n := range byPriority {
-		demand[min(-p, maxRanks-1)] += n
+		demand[-p] += n
 	}
 	return demand
 }
--- a/internal/gateway/urgency_test.go
+++ b/internal/gateway/urgency_test.go
@@ -140,3 +140,15 @@
 		t.Errorf("a service without ranks has a demand table: %v", f.demands)
 	}
 }
+
+// A configuration has more ranks than are told apart. The least urgent ones must still be limited.
+func TestRanksBeyondTheLastAreLimited(t *testing.T) {
+	t.Parallel()
+	f := newRankedFleet()
+	f.setDemands("10.0.1.1", demandOf(60, 0), 0)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*msec)
+	defer cancel()
+	if n := admitted(ctx, f, bulkRoute, maxRanks+3, 8); n == 0 || n > 3 {
+		t.Errorf("%d of 8 requests of the least urgent rank started, want its floor", n)
+	}
+}
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -214,7 +214,7 @@
 		waitUntil: now + maxWait, admitted: make(chan admission, 1),
 	}
 	d := f.admitter.Admit(now, admit.Request{
-		ID: id, Customer: t.team, Offer: offer(t.service), Deadline: deadline, Priority: -t.rank,
+		ID: id, Customer: t.team, Offer: offer(t.service), Deadline: deadline, Priority: -min(t.rank, maxRanks-1),
 		OnTimeBy: f.onTimeBy(t), MaxWait: maxWait,
 	})
 	if d.Action == admit.Refuse {
