--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -38,8 +38,8 @@
 	targetVersion int64
 	targetMaps    []balance.LayerMap
 	// targetOrder is the encoded target, nil for one that an earlier coordinator has prepared.
-	// hasTakenOver means that this coordinator has looked for such a target. needsWholeMap are the engines, by ID, whose rank agents do
-	// not hold the map that the target was planned from.
+	// hasTakenOver means that this coordinator has looked for such a target. needsWholeMap are the
+	// engines, by ID, whose rank agents do not hold the map that the target was planned from.
 	targetOrder   *ranks.MapOrder
 	hasTakenOver  bool
 	needsWholeMap map[string]bool
