Log the shared parts of a prompt, and whether a server that broke off has ended

The logs of the incident cannot tell a request that crashes servers from servers that end for another reason: no line names the parts of a prompt, and all ranks of a group break off their answers when one of them ends.

Lines about broken attempts now have the ids of the shared parts, and after a broken answer the entry checks whether anything still listens at the server's address; where nothing does, a line says that the server ended while it had the request. Nothing is decided by it yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -87,6 +87,9 @@
 		}
 	}
 	g.fleet.endAttempt(s.ID, a.serverOutcome, clock.Now()-began, clock.Now())
+	if outcome == broken && len(t.SharedParts) > 0 {
+		g.checkEnd(t, s.Server)
+	}
 	if next == nil {
 		return attemptResult{outcome: outcome, err: a.err, asksForRest: a.answer.Rest > 0}
 	}
--- /dev/null
+++ b/internal/gateway/ended.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log/level"
+
+	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/coord/registry"
+	"github.com/apricothub/apricothub/internal/clock"
+	"github.com/apricothub/apricothub/internal/result"
+)
+
+// endChecks are the times after a broken answer at which its server is checked: the listener of a process
+// that ends may be closed a little later than its connections.
+var endChecks = []time.Duration{0, 50 * time.Millisecond, 150 * time.Millisecond}
+
+// endProber finds out whether servers that broke off an answer have ended. Checks of the same server are
+// shared. It is safe for concurrent use.
+type endProber struct {
+	mu     sync.Mutex
+	checks map[registry.Start]*endCheck
+}
+
+// endCheck is the check of one server.
+type endCheck struct {
+	// first is closed once the server has been checked once, done at the end of the check.
+	first, done chan struct{}
+	// ended is whether the server has ended, to be read after done.
+	ended bool
+}
+
+func newEndProber() *endProber { return &endProber{checks: make(map[registry.Start]*endCheck)} }
+
+// start returns the check of a server, and starts one unless one is under way.
+func (p *endProber) start(s registry.Server) *endCheck {
+	key := registry.Start{ID: s.ID, StartedAtUnixMs: s.StartedAtUnixMs}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.checks[key]; c != nil {
+		return c
+	}
+	c := &endCheck{first: make(chan struct{}), done: make(chan struct{})}
+	p.checks[key] = c
+	go func() {
+		c.run(s.Address)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.checks, key)
+	}()
+	return c
+}
+
+func (c *endCheck) run(address string) {
+	defer close(c.done)
+	began := clock.Now()
+	for i, at := range endChecks {
+		time.Sleep(began + at - clock.Now())
+		c.ended = isRefused(address)
+		if i == 0 {
+			close(c.first)
+		}
+		if c.ended {
+			return
+		}
+	}
+}
+
+// isRefused reports whether a VM refuses connections to an address, so that no process listens there. A VM
+// that is silent, or a server that accepts or resets connections, gives false.
+func isRefused(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// checkEnd checks whether the server of a broken attempt has ended, and returns after the first check.
+//
+// When a rank of a lock-step group ends, the other ranks break off their answers as well. Only the rank
+// that has ended can have been ended by a request that was at it.
+func (g *Gateway) checkEnd(t *task, s registry.Server) {
+	check := g.ends.start(s)
+	go func() {
+		<-check.done
+		if !check.ended {
+			return
+		}
+		_ = level.Warn(g.logger).Log(line(t, "A backend server ended while it had the request.", func() [][]any {
+			return [][]any{{"server", s.ID, "service", s.Service, "failure_domain", s.FailureDomain,
+				"result", result.Label(api.ResultCode_BACKEND_FAILED)}, t.promptFields()}
+		})...)
+	}()
+	<-check.first
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -111,9 +112,23 @@
 func (g *Gateway) logAttempt(t *task, s placement, outcome attemptOutcome, retry bool, why string, err error) {
 	_ = level.Warn(g.logger).Log(line(t, "An attempt came to nothing.", func() [][]any {
 		failure := []any{"verdict", outcome, "result", result.Label(outcome.resultCode()), "err", err, "again", retry}
+		if outcome == broken {
+			failure = append(failure, t.promptFields()...)
+		}
 		if !retry {
 			failure = append(failure, "why", why)
 		}
 		return [][]any{serverFields(s), failure, g.requestFields(t)}
 	})...)
 }
+
+// maxLoggedParts limits the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// promptFields are the log fields about the parts of a request's prompt.
+func (t *task) promptFields() []any {
+	if len(t.SharedParts) == 0 {
+		return nil
+	}
+	return []any{"prompt_parts", strings.Join(t.SharedParts[:min(len(t.SharedParts), maxLoggedParts)], ",")}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 	store       *platform.Store
 	fleet       *fleet
 	pool        *upstream.Pool
+	ends        *endProber
 	metrics     *counters
 	experts     *experts.Coordinator
 	listen      net.ListenConfig
@@ -101,6 +102,7 @@
 			retryRatio: s.Bounds.RetryRatio, retryReserve: s.Bounds.RetryReserve,
 		}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		pool:    upstream.NewPool(connectTimeout),
+		ends:    newEndProber(),
 		listen:  net.ListenConfig{Control: upstream.SetTCPUserTimeout, KeepAliveConfig: upstream.KeepAliveConfig()},
 		metrics: counters,
 		peerClient: &http.Client{Transport: &http.Transport{
--- a/internal/logging/keys.go
+++ b/internal/logging/keys.go
@@ -58,6 +58,7 @@
 	{RequestKey, "id of the request, as sent by the caller or returned to it"},
 	{"route", "name of the route that the request matched"},
 	{"kind", "how the request may be retried: once, idempotent or stream; for an order to a rank, the kind of order"},
+	{"prompt_parts", "ids of the parts of the prompt that other requests may share"},
 	{"service", "service or model that the request goes to, or that the line is about"},
 	{"team", "team or customer whose API key the request carried"},
 	{"host", "host that the request asked for"},
