Add a failing test of requests whose prompt crashes servers

Servers end as they begin to answer a request with one part in its prompt, and are back after 1.2 s. Requests with it come at every entry and have the caller and all other parts in common with sound requests. The cases: one part, one that comes rarely, answers of all servers that break off as in a lock-step group, two parts, and entries that restart in turn or all at once.

--- a/test/fakeplatform/server.go
+++ b/test/fakeplatform/server.go
@@ -134,6 +134,11 @@
 // registration stays.
 func (f *Server) Kill() {
 	_ = f.listener.Close()
+	f.BreakConnections()
+}
+
+// BreakConnections closes all connections, as a rank does when another one of its group ends.
+func (f *Server) BreakConnections() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, conn := range f.conns {
--- /dev/null
+++ b/test/gateway_crashing_part_test.go
@@ -0,0 +1,300 @@
+package test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/apricothub/apricothub/platform"
+	"github.com/apricothub/apricothub/test/fakeplatform"
+)
+
+const (
+	// contactTime is the time after which an entry that is undisturbed must act on what others know.
+	contactTime = 3 * time.Second
+	// maxCrashes is the number of servers that may end before entries must know the part, and
+	// maxLaterRequests that of requests with it that may reach servers afterwards.
+	maxCrashes, maxLaterRequests = 5, 3
+	// serverRestartTime is the time until a server that has ended is back under another ID.
+	serverRestartTime = 1200 * time.Millisecond
+	// promptTime is the time that a server takes to read a prompt.
+	promptTime = 30 * time.Millisecond
+	// crashEvents is the number of events of a whole stream.
+	crashEvents = 5
+)
+
+// crashingSite is a site whose servers end as they begin to answer a request with one of some parts in its
+// prompt, or when the test says so.
+type crashingSite struct {
+	*site
+	badParts []string
+	// lockStep means that the answers of all servers break off when one of them ends.
+	lockStep bool
+
+	mu      sync.Mutex
+	running map[string]*fakeplatform.Server
+	started int
+	// crashes and arrivals are the times at which servers ended under each part, and at which requests
+	// with it reached servers.
+	crashes, arrivals map[string][]time.Time
+}
+
+func startCrashingSite(t *testing.T, gateways int, lockStep bool, badParts ...string) *crashingSite {
+	t.Helper()
+	c := &crashingSite{
+		badParts: badParts, lockStep: lockStep, running: make(map[string]*fakeplatform.Server),
+		crashes: make(map[string][]time.Time), arrivals: make(map[string][]time.Time),
+	}
+	c.site = startSite(t, gateways, c.answer)
+	c.mu.Lock()
+	for _, s := range c.servers {
+		c.running[s.ID()] = s
+	}
+	c.mu.Unlock()
+	for i := range 5 {
+		c.startServer(domains[i%len(domains)])
+	}
+	time.Sleep(time.Second)
+	return c
+}
+
+// startServer starts a server under a new ID.
+func (c *crashingSite) startServer(domain string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started++
+	id := fmt.Sprintf("n-%d", c.started)
+	c.running[id] = c.store.ServeAt(c.t, fakeplatform.Registration{ID: id, FailureDomain: domain, Concurrency: 8, DiscardRequests: true}, c.answer)
+}
+
+// end ends a server, and starts another one in its place after serverRestartTime. It returns false if the
+// server has ended already.
+func (c *crashingSite) end(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.running[id]
+	if s == nil {
+		return false
+	}
+	delete(c.running, id)
+	s.Kill()
+	if c.lockStep {
+		for _, other := range c.running {
+			other.BreakConnections()
+		}
+	}
+	time.AfterFunc(serverRestartTime, func() {
+		c.store.Put(platform.TopicServers, id, "")
+		c.startServer(domains[0])
+	})
+	return true
+}
+
+// answer is the handler of the servers.
+func (c *crashingSite) answer(seen fakeplatform.ReceivedRequest, conn net.Conn) bool {
+	prompt := seen.Request.Header.Get("Prompt-Prefix")
+	bad := slices.IndexFunc(c.badParts, func(part string) bool { return strings.Contains(prompt, part+":") })
+	if bad >= 0 {
+		c.mu.Lock()
+		c.arrivals[c.badParts[bad]] = append(c.arrivals[c.badParts[bad]], time.Now())
+		c.mu.Unlock()
+	}
+	time.Sleep(promptTime)
+	_, _ = io.WriteString(conn, fakeplatform.StreamHead(seen))
+	if bad >= 0 {
+		_, _ = io.WriteString(conn, fakeplatform.Chunk("id: 1\nda"))
+		if c.end(seen.Request.Header.Get("Target-Instance")) {
+			c.mu.Lock()
+			c.crashes[c.badParts[bad]] = append(c.crashes[c.badParts[bad]], time.Now())
+			c.mu.Unlock()
+		}
+		return false
+	}
+	resumeAfter, _ := strconv.Atoi(seen.ResumeAfter())
+	for n := resumeAfter + 1; n <= crashEvents; n++ {
+		if _, err := io.WriteString(conn, fakeplatform.Chunk(fakeplatform.Event(n))); err != nil {
+			return false
+		}
+		time.Sleep(promptTime / 3)
+	}
+	_, err := io.WriteString(conn, "0\r\n\r\n")
+	return err == nil
+}
+
+// crashCaller sends streams with a prompt to all gateways in turn.
+type crashCaller struct {
+	mu sync.Mutex
+	// sentAt and served are when each request was sent and whether its stream was whole.
+	sentAt []time.Time
+	served []bool
+	// statuses counts the answers by status; 0 stands for none.
+	statuses map[int]int
+}
+
+// startCrashCaller sends a request each interval until the function that it returns is called. prompt
+// returns the parts of the prompt that may be shared.
+func (c *crashingSite) startCrashCaller(name string, interval time.Duration, prompt func(n int) string) (*crashCaller, func()) {
+	caller := &crashCaller{statuses: make(map[int]int)}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}, Timeout: siteTimeout}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for n := 0; !isClosed(stop); n++ {
+			wg.Go(func() {
+				caller.send(client, c.gateways[n%len(c.gateways)].ip, fmt.Sprintf("%s-%d", name, n), prompt(n))
+			})
+			time.Sleep(interval)
+		}
+	})
+	return caller, func() {
+		close(stop)
+		wg.Wait()
+	}
+}
+
+func (l *crashCaller) send(client *http.Client, ip, id, prompt string) {
+	sentAt := time.Now()
+	status, whole := 0, false
+	req, err := fakeplatform.NewRequest(net.JoinHostPort(ip, fakeplatform.PortCallers), "/draft/"+id, id)
+	if err == nil {
+		req.Header.Set("Prompt-Prefix", prompt+","+id+":20")
+		if resp, err := client.Do(req); err == nil {
+			text, err := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			status = resp.StatusCode
+			whole = err == nil && status == http.StatusOK && strings.HasSuffix(string(text), fakeplatform.Event(crashEvents))
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sentAt, l.served = append(l.sentAt, sentAt), append(l.served, whole)
+	l.statuses[status]++
+}
+
+// share returns the share of the requests sent in a span that were served, and their number.
+func (l *crashCaller) share(from, to time.Time) (float64, int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sent, served := 0, 0
+	for i, at := range l.sentAt {
+		if at.After(from) && at.Before(to) {
+			sent++
+			if l.served[i] {
+				served++
+			}
+		}
+	}
+	return float64(served) / max(float64(sent), 1), sent
+}
+
+// Requests with one part in their prompts end the servers that begin to answer them, one after the other,
+// while sound requests have the caller and the other parts of the prompt in common with them.
+func TestRequestsWithAPartThatCrashesServersAreKeptFromThem(t *testing.T) {
+	t.Parallel()
+	const duration = 14 * time.Second
+	for _, test := range []struct {
+		name     string
+		lockStep bool
+		badParts []string
+		// interval is the time between two requests with a bad part.
+		interval time.Duration
+		// disturb injects faults meanwhile.
+		disturb func(c *crashingSite)
+		inShort bool
+	}{
+		{name: "one part", badParts: []string{"bad"}, interval: 60 * time.Millisecond, inShort: true},
+		{name: "each entry sees it now and then", badParts: []string{"bad"}, interval: 500 * time.Millisecond},
+		{name: "all answers break off", lockStep: true, badParts: []string{"bad"}, interval: 60 * time.Millisecond, inShort: true},
+		{name: "two parts", badParts: []string{"bad", "evil"}, interval: 60 * time.Millisecond},
+		{name: "entries restart in turn", badParts: []string{"bad"}, interval: 60 * time.Millisecond, disturb: func(c *crashingSite) {
+			for _, g := range c.gateways {
+				time.Sleep(1500 * time.Millisecond)
+				g.restart()
+			}
+		}},
+		{name: "all entries restart at once", badParts: []string{"bad"}, interval: 60 * time.Millisecond, disturb: func(c *crashingSite) {
+			time.Sleep(5 * time.Second)
+			for _, g := range c.gateways {
+				g.Signal(syscall.SIGKILL)
+			}
+			for _, g := range c.gateways {
+				g.restart()
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			if !test.inShort {
+				skipIfShort(t)
+			}
+			c := startCrashingSite(t, 4, test.lockStep, test.badParts...)
+			sound, stopSound := c.startCrashCaller("sound", 15*time.Millisecond, func(n int) string {
+				return fmt.Sprintf("first:40,topic%d:100", n%3)
+			})
+			time.Sleep(2 * time.Second)
+			began := time.Now()
+			_, stopBad := c.startCrashCaller("bad", test.interval, func(n int) string {
+				return fmt.Sprintf("first:40,topic%d:100,%s:60", n%3, test.badParts[n/len(c.gateways)%len(test.badParts)])
+			})
+			if test.disturb != nil {
+				go test.disturb(c)
+			}
+			time.Sleep(time.Until(began.Add(duration)))
+			end := time.Now()
+			stopBad()
+			stopSound()
+			c.check(t, sound, began, end)
+		})
+	}
+}
+
+// restart kills a gateway and starts it again.
+func (g *gatewayProcess) restart() {
+	g.Signal(syscall.SIGKILL)
+	g.Kill()
+	g.Restart()
+}
+
+// check checks what reached the servers after the fifth crash under each part, and how sound requests fared
+// from 2 x contactTime after it.
+func (c *crashingSite) check(t *testing.T, sound *crashCaller, began, end time.Time) {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := began
+	for _, part := range c.badParts {
+		crashes := c.crashes[part]
+		t.Logf("%d servers ended under %s, %d requests with it reached servers", len(crashes), part, len(c.arrivals[part]))
+		if len(crashes) == 0 {
+			t.Errorf("no server ended under %s: the test proves nothing", part)
+			continue
+		}
+		last := crashes[min(len(crashes), maxCrashes)-1]
+		if last.After(known) {
+			known = last
+		}
+		later := 0
+		for _, at := range c.arrivals[part] {
+			if at.After(last.Add(contactTime)) {
+				later++
+			}
+		}
+		if len(crashes) >= maxCrashes && later > maxLaterRequests {
+			t.Errorf("%d requests with %s reached servers later than %v after the fifth had ended", later, part, contactTime)
+		}
+	}
+	before, _ := sound.share(began.Add(-time.Second), began)
+	after, sent := sound.share(known.Add(2*contactTime), end.Add(-time.Second))
+	t.Logf("%.2f of the sound requests were served before and %.2f of %d after the first crashes; answers by status: %v", before, after, sent, sound.statuses)
+	if after < before/2 {
+		t.Errorf("%.2f of the sound requests were served, want half of %.2f", after, before)
+	}
+}
