Keep requests whose prompt ends backend servers from them

What callers saw: requests with one part in their prompts ended engine after engine.

Cause: an answer that broke off counted against its server alone. No entry related the ends of several servers to what the requests there had in common, so each new request with the part, and each second attempt, was placed like any other. The class is the query of death.

decide/quarantine weighs the evidence. A server that has ended (its address refuses connections, while its VM answers and it had not announced that it leaves) speaks against the shared parts of the requests that it had not begun to answer. An answer with a second event, or a whole one, proves the parts of its prompt sound. A part is quarantined after two ends, three if another part was present each time, and two more if it was known as sound, and only if other answers of the service have begun meanwhile, so that a part that all requests share is never blamed for an outage. Until then one request at a time may try it at each entry, also when a request is sent again. A quarantine lasts 1 min, then one entry tries the part; each further one lasts twice as long.

Entries tell each other of ends, proofs and quarantines in heartbeats, and two of them store a quarantine, for when all entries restart at once.

--- /dev/null
+++ b/decide/quarantine/quarantine.go
@@ -0,0 +1,176 @@
+// Package quarantine answers the query of death: a part of a prompt that ends each backend server that
+// begins to answer a request with it. It finds the part and keeps requests with it from the servers.
+//
+// Each end of a server is evidence against the parts of the requests that the server had not begun to
+// answer. An answer that gets past its beginning proves all parts of its prompt sound, since a part that
+// ends servers does so every time. A part is quarantined once several servers have ended under it, none
+// has begun an answer with it, and answers without it have begun on the same service meanwhile: when
+// servers end for another reason, the parts that all requests share have no such contrast.
+//
+// Before that, a part under suspicion is tried with one request at a time at each entry. A quarantine ends
+// by itself; one request of one entry is then the trial.
+//
+// Entries report ends, proofs and quarantines to each other, since each of them may see only one end.
+// All state is bounded. Time is an argument, counted since the process started; times in reports are ages.
+// A Tracker is not safe for concurrent use.
+package quarantine
+
+import "time"
+
+// Config holds the limits of a Tracker. A zero field takes its default.
+type Config struct {
+	// MinEnds is the number of servers that must have ended under a part, and MinTiedEnds the number if
+	// another part was present each time. Defaults 2 and 3.
+	MinEnds, MinTiedEnds int
+	// ProvenEnds is the number of further ends that it takes if the part was proven sound within ProvenFor
+	// before the first end: such a part can turn bad only with the servers' software. Defaults 2 and 5 min.
+	ProvenEnds int
+	ProvenFor  time.Duration
+	// SettleTime is the age from which an end counts, so that all entries have reported the requests that
+	// they had at the server, and what they know of the parts. Default 400 ms: two heartbeats.
+	SettleTime time.Duration
+	// EvidenceTime is how long an end counts. Default 10 min.
+	EvidenceTime time.Duration
+	// OutageWindow is the time between two ends within which a server that ended with nothing but answers
+	// under way shows that servers end for another reason. Default 500 ms.
+	OutageWindow time.Duration
+	// TrialDelay is the time after an end until a part under suspicion may be tried, once other answers
+	// have begun; MaxTrialDelay is that time if none has. Defaults 1 s and 5 s: the latter is longer than a
+	// group of engines takes to form again.
+	TrialDelay, MaxTrialDelay time.Duration
+	// BaseTime is the length of the first quarantine of a part, MaxTime that of the longest. Each is twice
+	// as long as the one before. Defaults 1 min and 1 h: a trial that fails may cost a group of engines
+	// some seconds.
+	BaseTime, MaxTime time.Duration
+	// TrialSpacing is the time after which a further entry may try a part whose quarantine is over.
+	// Default 2 s.
+	TrialSpacing time.Duration
+	// ReportTime is how long news is told to other entries. Default 3 s: many heartbeats.
+	ReportTime time.Duration
+	// MaxProofs limits the parts that are remembered as sound, MaxEnds the ends and MaxQuarantines the
+	// quarantines. Defaults 8192, 32 and 64.
+	MaxProofs, MaxEnds, MaxQuarantines int
+}
+
+func (c Config) withDefaults() Config {
+	setTime := func(d *time.Duration, value time.Duration) {
+		if *d == 0 {
+			*d = value
+		}
+	}
+	setCount := func(n *int, value int) {
+		if *n == 0 {
+			*n = value
+		}
+	}
+	setCount(&c.MinEnds, 2)
+	setCount(&c.MinTiedEnds, 3)
+	setCount(&c.ProvenEnds, 2)
+	setTime(&c.ProvenFor, 5*time.Minute)
+	setTime(&c.SettleTime, 400*time.Millisecond)
+	setTime(&c.EvidenceTime, 10*time.Minute)
+	setTime(&c.OutageWindow, 500*time.Millisecond)
+	setTime(&c.TrialDelay, time.Second)
+	setTime(&c.MaxTrialDelay, 5*time.Second)
+	setTime(&c.BaseTime, time.Minute)
+	setTime(&c.MaxTime, time.Hour)
+	setTime(&c.TrialSpacing, 2*time.Second)
+	setTime(&c.ReportTime, 3*time.Second)
+	setCount(&c.MaxProofs, 8192)
+	setCount(&c.MaxEnds, 32)
+	setCount(&c.MaxQuarantines, 64)
+	return c
+}
+
+// Tracker holds what one entry knows of the parts of prompts.
+type Tracker struct {
+	cfg  Config
+	self string
+	// entries are the IPs of the entries that may be running, this one included.
+	entries []string
+
+	proofs proofLog
+	// begunAt is when an answer of each service last began here.
+	begunAt map[string]time.Duration
+	// ends are the ends of servers, the oldest first.
+	ends []*end
+	// suspects are the parts under suspicion, with the latest end that counts against each.
+	suspects map[string]suspicion
+	// quarantines are the parts in quarantine, or on trial after it.
+	quarantines map[string]*quarantine
+	// trials are the parts that a request of this entry tries now.
+	trials map[string]bool
+	// proofNewsUntil is until when the proof of a part is told to other entries.
+	proofNewsUntil map[string]time.Duration
+	// isChanged means that the evidence has changed since it was last weighed. settlesAt is when the latest
+	// end counts.
+	isChanged bool
+	settlesAt time.Duration
+	changes   Changes
+}
+
+// New returns the tracker of the entry with IP self.
+func New(self string, cfg Config) *Tracker {
+	return &Tracker{
+		cfg: cfg.withDefaults(), self: self, entries: []string{self},
+		begunAt:        make(map[string]time.Duration),
+		suspects:       make(map[string]suspicion),
+		quarantines:    make(map[string]*quarantine),
+		trials:         make(map[string]bool),
+		proofNewsUntil: make(map[string]time.Duration),
+	}
+}
+
+// SetEntries sets the IPs of the entries that may be running, this one included.
+func (t *Tracker) SetEntries(ips []string) { t.entries = ips }
+
+// Changes are the quarantines that have begun and ended since the last tick.
+type Changes struct {
+	// Begun are new or longer quarantines; those with Heard set were reported by another entry.
+	Begun []Quarantine
+	// Ended are the parts that have been proven sound here.
+	Ended []string
+}
+
+// Quarantine is the quarantine of a part.
+type Quarantine struct {
+	Part string
+	// Age is the time since it began, Left the time until it ends; negative if it is over and the part
+	// waits for a trial.
+	Age, Left time.Duration
+	// Strikes is how often the part has been quarantined.
+	Strikes int
+	// Ends is the number of servers that ended under the part as this entry knows.
+	Ends int
+	// Heard means that another entry, or the store, has told of it.
+	Heard bool
+}
+
+// Tick weighs the evidence, and returns what has changed since the last tick.
+func (t *Tracker) Tick(now time.Duration) Changes {
+	t.forget(now)
+	if t.isChanged || t.settlesAt > 0 && now >= t.settlesAt {
+		t.weigh(now)
+	}
+	changes := t.changes
+	t.changes = Changes{}
+	return changes
+}
+
+// forget drops what has become too old.
+func (t *Tracker) forget(now time.Duration) {
+	for len(t.ends) > 0 && now-t.ends[0].at > t.cfg.EvidenceTime {
+		t.ends = t.ends[1:]
+		t.isChanged = true
+	}
+	for part, q := range t.quarantines {
+		if now-q.until > t.cfg.MaxTime {
+			delete(t.quarantines, part)
+		}
+	}
+	for part, until := range t.proofNewsUntil {
+		if now > until {
+			delete(t.proofNewsUntil, part)
+		}
+	}
+}
--- /dev/null
+++ b/decide/quarantine/quarantine_test.go
@@ -0,0 +1,368 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+const (
+	msec    = time.Millisecond
+	service = "chat"
+	bad     = "bad"
+)
+
+// world is a number of entries that tell each other what they know.
+type world struct {
+	t        *testing.T
+	now      time.Duration
+	entries  []*Tracker
+	nextHash uint32
+}
+
+func newWorld(t *testing.T, entries int) *world {
+	w := &world{t: t, now: time.Hour}
+	var ips []string
+	for i := range entries {
+		ips = append(ips, fmt.Sprintf("10.0.0.%d", i))
+		w.entries = append(w.entries, New(ips[i], Config{}))
+	}
+	for _, e := range w.entries {
+		e.SetEntries(ips)
+	}
+	return w
+}
+
+// pass lets time pass, with ticks and heartbeats.
+func (w *world) pass(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.now += 50 * msec
+		for _, e := range w.entries {
+			e.Tick(w.now)
+		}
+		for _, from := range w.entries {
+			for _, to := range w.entries {
+				if from != to {
+					tell(from, to, w.now)
+				}
+			}
+		}
+	}
+}
+
+// tell passes on one heartbeat.
+func tell(from, to *Tracker, now time.Duration) {
+	for _, p := range from.Proofs(16, now) {
+		to.HearSound(p.Part, p.Age, now)
+	}
+	for _, e := range from.Ends(4, now) {
+		to.HearEnd(e, now)
+	}
+	for _, q := range from.Quarantines(8, now) {
+		to.HearQuarantine(q, now)
+	}
+}
+
+// sound has an entry pass on an answer with these parts in its prompt.
+func (w *world) sound(entry int, parts ...string) {
+	w.pass(50 * msec)
+	w.entries[entry].RecordBegun(service, w.now)
+	w.entries[entry].RecordSound(parts, w.now)
+}
+
+// server returns a server that has not ended yet.
+func (w *world) server() ServerStart {
+	w.nextHash++
+	return ServerStart{Hash: w.nextHash}
+}
+
+// end ends a server with a request of one entry.
+func (w *world) end(entry int, parts ...string) {
+	w.entries[entry].RecordEnd(w.server(), service, parts, w.now)
+}
+
+// checkQuarantined checks that all entries refuse requests with just these parts.
+func (w *world) checkQuarantined(want ...string) {
+	w.t.Helper()
+	for i, e := range w.entries {
+		var got []string
+		for part, q := range e.quarantines {
+			if w.now < q.until {
+				got = append(got, part)
+			}
+		}
+		slices.Sort(got)
+		if !slices.Equal(got, want) {
+			w.t.Errorf("entry %d refuses %q, want %q", i, got, want)
+		}
+	}
+}
+
+// mayTry reports whether an entry sends a request with a part now. It leaves no trial behind.
+func (w *world) mayTry(entry int, part string) bool {
+	p := &Permit{}
+	d := w.entries[entry].Acquire(p, []string{part}, w.now)
+	w.entries[entry].Release(p)
+	return d.Action == Send
+}
+
+// Each entry sees a single server end under the part: no entry alone has enough evidence.
+func TestEachEntryHasSeenOneEnd(t *testing.T) {
+	w := newWorld(t, 3)
+	for i := range 3 {
+		w.end(i, "first", fmt.Sprint("topic", i), bad)
+		w.pass(200 * msec)
+		w.sound(i, "first")
+		w.pass(time.Second)
+	}
+	w.checkQuarantined(bad)
+}
+
+// Several requests were at each server that ended, also at several entries, and one of them is to blame.
+func TestRequestsBesideTheBadOneAreSound(t *testing.T) {
+	w := newWorld(t, 2)
+	for i := range 3 {
+		server := w.server()
+		w.entries[0].RecordEnd(server, service, []string{"first", "rare"}, w.now)
+		w.entries[0].RecordEnd(server, service, []string{"first", fmt.Sprint("topic", i)}, w.now)
+		w.entries[1].RecordEnd(server, service, []string{"first", bad}, w.now)
+		w.pass(time.Second)
+		w.sound(0, "first")
+	}
+	w.pass(time.Second)
+	w.checkQuarantined(bad, "rare")
+	if w.entries[0].suspects["topic0"].lastEnd != 0 {
+		t.Error("a part that was at one server is under suspicion although the end is explained")
+	}
+}
+
+// A rare part was at two servers that ended under another one: it must stay served.
+func TestAnEndIsExplainedByOnePart(t *testing.T) {
+	w := newWorld(t, 2)
+	w.end(0, "rare", bad)
+	w.end(1, "rare", bad)
+	w.sound(0, "first")
+	w.pass(500 * msec)
+	w.checkQuarantined()
+	w.end(0, bad)
+	w.sound(1, "first")
+	w.pass(time.Second)
+	w.checkQuarantined(bad)
+	if !w.mayTry(0, "rare") {
+		t.Error("a part whose ends are explained is held back")
+	}
+}
+
+// Two parts end servers in turn, and some requests have both.
+func TestTwoBadParts(t *testing.T) {
+	w := newWorld(t, 2)
+	w.end(0, "first", bad)
+	w.end(1, "first", "worse")
+	w.sound(0, "first")
+	w.pass(600 * msec)
+	w.end(1, "first", bad, "worse")
+	w.pass(50 * msec)
+	w.sound(0, "first")
+	w.end(0, "first", bad)
+	w.end(0, "first", "worse")
+	w.pass(600 * msec)
+	w.checkQuarantined(bad, "worse")
+}
+
+// All servers lose power, again and again, while all requests share parts that no entry remembers as sound:
+// none of them may be refused.
+func TestServersThatEndForAnotherReasonSpeakAgainstNoSharedPart(t *testing.T) {
+	w := newWorld(t, 3)
+	for range 5 {
+		for entry := range 3 {
+			w.end(entry, "first", "route")
+			w.end(entry, "first", "route")
+		}
+		w.pass(6 * time.Second)
+		w.checkQuarantined()
+		if !w.mayTry(0, "first") {
+			t.Fatal("no request may try a part that all share")
+		}
+	}
+	w.sound(0, "first", "route")
+	w.pass(500 * msec)
+	for entry := range 3 {
+		if w.entries[entry].Any() {
+			t.Errorf("entry %d holds parts back that have been proven sound", entry)
+		}
+	}
+}
+
+// Servers end with answers under way only, at the same time as others: the requests that those had not
+// begun to answer are not to blame, although other answers begin.
+func TestAnOutageOfManyServersSpeaksAgainstNoPart(t *testing.T) {
+	w := newWorld(t, 2)
+	for range 3 {
+		w.end(0, "rare")
+		w.end(1)
+		w.pass(time.Second)
+		w.sound(1, "first")
+	}
+	w.checkQuarantined()
+	if !w.mayTry(0, "rare") {
+		t.Error("the part is held back")
+	}
+}
+
+// Entries know a part as sound, and new software of the servers ends under it.
+func TestAPartThatWasSoundTurnsBad(t *testing.T) {
+	w := newWorld(t, 2)
+	w.sound(0, "first", bad)
+	w.pass(50 * msec)
+	for n := 1; n <= 4; n++ {
+		w.checkQuarantined()
+		w.end(n%2, "first", bad)
+		w.pass(600 * msec)
+		w.sound(0, "first")
+		w.pass(600 * msec)
+	}
+	w.checkQuarantined(bad)
+}
+
+// A request is to be sent again after the server that had it has ended, and others with the part come: one
+// at a time may try it, and none before other answers have begun.
+func TestASuspectIsTriedWithOneRequestAtATime(t *testing.T) {
+	w := newWorld(t, 1)
+	e := w.entries[0]
+	w.end(0, bad)
+	w.sound(0, "first")
+	again, other := &Permit{}, &Permit{}
+	if d := e.Acquire(again, []string{bad}, w.now+100*msec); d.Action != Wait {
+		t.Errorf("the request is sent again at once: %+v", d)
+	}
+	w.pass(2 * time.Second)
+	if d := e.Acquire(again, []string{"first", bad}, w.now); d.Action != Send {
+		t.Errorf("the part is not tried: %+v", d)
+	}
+	if d := e.Acquire(other, []string{bad}, w.now); d.Action != Wait {
+		t.Errorf("a second request tries the part: %+v", d)
+	}
+	if d := e.Acquire(again, []string{"first", bad}, w.now); d.Action != Send {
+		t.Errorf("the trial may not be sent: %+v", d)
+	}
+	e.Release(again)
+	if d := e.Acquire(other, []string{bad}, w.now); d.Action != Send {
+		t.Errorf("a lost trial is not repeated: %+v", d)
+	}
+	w.sound(0, bad)
+	if d := e.Acquire(&Permit{}, []string{bad}, w.now); d.Action != Send {
+		t.Errorf("a part that was proven sound is held back: %+v", d)
+	}
+}
+
+// No answer begins between two ends: the part must wait longer, as other requests would show that servers
+// do not end under each of them.
+func TestATrialWaitsForOtherAnswers(t *testing.T) {
+	w := newWorld(t, 1)
+	w.end(0, bad)
+	w.pass(2 * time.Second)
+	if w.mayTry(0, bad) {
+		t.Error("the part is tried although no other answer has begun")
+	}
+	w.pass(4 * time.Second)
+	if !w.mayTry(0, bad) {
+		t.Error("the part is never tried although no other request may come")
+	}
+}
+
+// quarantined returns a world in which all entries refuse the bad part.
+func quarantined(t *testing.T, entries int) *world {
+	w := newWorld(t, entries)
+	w.end(0, bad)
+	w.end(entries-1, bad)
+	w.sound(0, "first")
+	w.pass(time.Second)
+	w.checkQuarantined(bad)
+	return w
+}
+
+// The quarantine is over: one entry may try the part, and if a server ends, all refuse it for longer.
+func TestAQuarantineEndsWithOneTrial(t *testing.T) {
+	w := quarantined(t, 8)
+	for strikes := 1; strikes <= 3; strikes++ {
+		w.pass(time.Minute << (strikes - 1))
+		var allowed []int
+		for i := range w.entries {
+			if w.mayTry(i, bad) {
+				allowed = append(allowed, i)
+			}
+		}
+		if len(allowed) != 1 {
+			t.Fatalf("%d entries may try the part, want one", len(allowed))
+		}
+		w.end(allowed[0], bad)
+		w.pass(200 * msec)
+		w.checkQuarantined(bad)
+	}
+	w.pass(8*time.Minute + 20*time.Second)
+	for i := range w.entries {
+		if !w.mayTry(i, bad) {
+			t.Errorf("entry %d may not try the part although no other one has", i)
+		}
+	}
+	w.sound(5, bad)
+	w.pass(200 * msec)
+	for i, e := range w.entries {
+		if e.Any() {
+			t.Errorf("entry %d still restricts a part that was proven sound", i)
+		}
+	}
+}
+
+// An entry restarts and has forgotten everything: it must refuse the part as soon as it hears the others.
+func TestARestartedEntryHearsOfQuarantines(t *testing.T) {
+	w := quarantined(t, 3)
+	w.pass(10 * time.Second)
+	restarted := New("10.0.0.1", Config{})
+	w.entries[1] = restarted
+	w.pass(50 * msec)
+	w.checkQuarantined(bad)
+	if got := restarted.Quarantines(8, w.now)[0].Left; got > 50*time.Second {
+		t.Errorf("the quarantine begins anew with %v", got)
+	}
+}
+
+// An entry was cut off while the others quarantined a part that it has proven sound since.
+func TestALaterProofEndsAQuarantineThatIsHeard(t *testing.T) {
+	w := quarantined(t, 2)
+	w.pass(time.Second)
+	late := New("10.0.0.9", Config{})
+	late.RecordSound([]string{bad}, w.now)
+	w.entries = append(w.entries, late)
+	w.pass(200 * msec)
+	w.checkQuarantined()
+}
+
+// A caller sends ever new parts, and servers end all the time: what is remembered must not grow.
+func TestStateIsBounded(t *testing.T) {
+	e := New("10.0.0.1", Config{})
+	now := time.Hour
+	for n := range 50_000 {
+		now += 10 * msec
+		part := fmt.Sprint("p", n)
+		e.RecordSound([]string{part}, now)
+		if n%10 == 0 {
+			e.RecordEnd(ServerStart{Hash: uint32(n)}, service, []string{part + "x", part + "y"}, now)
+			e.HearQuarantine(Quarantine{Part: part + "z", Left: time.Minute, Strikes: 1}, now)
+		}
+		if n%100 == 0 {
+			e.Tick(now)
+		}
+	}
+	cfg := e.cfg
+	if n := len(e.proofs.newer) + len(e.proofs.older); n > cfg.MaxProofs {
+		t.Errorf("%d proofs", n)
+	}
+	if len(e.ends) > cfg.MaxEnds || len(e.quarantines) > cfg.MaxQuarantines || len(e.suspects) > cfg.MaxEnds*maxParts {
+		t.Errorf("%d ends, %d quarantines, %d suspects", len(e.ends), len(e.quarantines), len(e.suspects))
+	}
+	if len(e.proofNewsUntil) > cfg.MaxEnds*maxParts+cfg.MaxQuarantines {
+		t.Errorf("%d proofs to tell of", len(e.proofNewsUntil))
+	}
+}
--- a/decide/subset/hash.go
+++ b/decide/subset/hash.go
@@ -7,6 +7,9 @@
 	fnvPrime  = 1099511628211
 )
 
+// Key returns the key of a name for IsChosen.
+func Key(name string) uint64 { return hash(name) }
+
 func hash(name string) uint64 {
 	h := uint64(fnvOffset)
 	for i := range len(name) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,7 +40,9 @@
 	// watchdog watches the attempt; nil for none.
 	watchdog *watchdog
 	// isWhole means that the answer was read to its end.
-	isWhole       bool
+	isWhole bool
+	// events counts the events of this attempt.
+	events        int
 	serverOutcome serverOutcome
 	// err is why the attempt failed, for the log.
 	err error
@@ -87,8 +89,12 @@
 		}
 	}
 	g.fleet.endAttempt(s.ID, a.serverOutcome, clock.Now()-began, clock.Now())
-	if outcome == broken && len(t.SharedParts) > 0 {
-		g.checkEnd(t, s.Server)
+	switch {
+	case len(t.SharedParts) == 0:
+	case outcome == broken:
+		g.checkEnd(t, s.Server, a.events >= soundEvents)
+	case a.isWhole && a.serverOutcome == outcomeServed:
+		g.prompts.recordWhole(t, clock.Now())
 	}
 	if next == nil {
 		return attemptResult{outcome: outcome, err: a.err, asksForRest: a.answer.Rest > 0}
@@ -283,6 +289,8 @@
 			return abandoned
 		}
 		a.watchdog.noteEvent()
+		a.events++
+		a.g.prompts.recordEvents(a.t, a.events, clock.Now())
 	}
 }
 
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -246,6 +246,7 @@
 	c.registry.SetStoreReachable(!c.isStoreUnreachable(live, now), now)
 	maybeLive := append(c.peers.MaybeLive(now), c.g.settings.IP)
 	c.g.fleet.setEntries(maybeLive)
+	c.updateQuarantines(maybeLive, now)
 	counts := entryCounts{live: len(live) + 1, maybeLive: len(maybeLive)}
 	c.changed = c.changed || counts != c.entryCounts
 	if c.changed && c.servingTable(now) != nil {
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -11,7 +12,9 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/coord/peering"
 	"github.com/apricothub/apricothub/coord/registry"
+	"github.com/apricothub/apricothub/decide/quarantine"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/result"
 )
@@ -31,8 +34,8 @@
 type endCheck struct {
 	// first is closed once the server has been checked once, done at the end of the check.
 	first, done chan struct{}
-	// ended is whether the server has ended, to be read after done.
-	ended bool
+	// ended is whether the server has ended.
+	ended atomic.Bool
 }
 
 func newEndProber() *endProber { return &endProber{checks: make(map[registry.Start]*endCheck)} }
@@ -61,11 +64,11 @@
 	began := clock.Now()
 	for i, at := range endChecks {
 		time.Sleep(began + at - clock.Now())
-		c.ended = isRefused(address)
+		c.ended.Store(isRefused(address))
 		if i == 0 {
 			close(c.first)
 		}
-		if c.ended {
+		if c.ended.Load() {
 			return
 		}
 	}
@@ -84,20 +87,45 @@
 }
 
 // checkEnd checks whether the server of a broken attempt has ended, and returns after the first check.
+// hasBegun means that the answer had got past its beginning.
 //
 // When a rank of a lock-step group ends, the other ranks break off their answers as well. Only the rank
 // that has ended can have been ended by a request that was at it.
-func (g *Gateway) checkEnd(t *task, s registry.Server) {
+func (g *Gateway) checkEnd(t *task, s registry.Server, hasBegun bool) {
+	if !g.fleet.endsUnexpectedly(s) {
+		return
+	}
 	check := g.ends.start(s)
+	<-check.first
+	if check.ended.Load() {
+		g.recordEnd(t, s, hasBegun)
+		return
+	}
 	go func() {
 		<-check.done
-		if !check.ended {
-			return
+		if check.ended.Load() {
+			g.recordEnd(t, s, hasBegun)
 		}
-		_ = level.Warn(g.logger).Log(line(t, "A backend server ended while it had the request.", func() [][]any {
-			return [][]any{{"server", s.ID, "service", s.Service, "failure_domain", s.FailureDomain,
-				"result", result.Label(api.ResultCode_BACKEND_FAILED)}, t.promptFields()}
-		})...)
 	}()
-	<-check.first
+}
+
+// endsUnexpectedly reports whether nothing but a failure of its process explains the end of a server: it
+// is registered, has not said that it leaves, and its VM is not silent.
+func (f *fleet) endsUnexpectedly(s registry.Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.servers[s.ID]
+	return known != nil && known.StartedAtUnixMs == s.StartedAtUnixMs && !known.Draining && !known.saysLeaving &&
+		!f.silenceDetector.IsSilent(s.ID)
+}
+
+func (g *Gateway) recordEnd(t *task, s registry.Server, hasBegun bool) {
+	start := quarantine.ServerStart{Hash: peering.ServerHash(s.ID), StartedAtUnixMs: s.StartedAtUnixMs}
+	g.prompts.recordEnd(t, start, hasBegun, clock.Now())
+	_ = level.Warn(g.logger).Log(line(t, "A backend server ended while it had the request.", func() [][]any {
+		return [][]any{{
+			"server", s.ID, "service", s.Service, "failure_domain", s.FailureDomain, "answer_begun", hasBegun,
+			"result", result.Label(api.ResultCode_BACKEND_FAILED),
+		}, t.promptFields()}
+	})...)
 }
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -16,12 +16,12 @@
 	s := registry.Server{ID: "i-1", Address: listener.Addr().String()}
 	p := newEndProber()
 	check := p.start(s)
-	if <-check.done; check.ended {
+	if <-check.done; check.ended.Load() {
 		t.Error("a server that accepts connections counts as ended")
 	}
 	_ = listener.Close()
 	check = p.start(s)
-	if <-check.done; !check.ended {
+	if <-check.done; !check.ended.Load() {
 		t.Error("a server that refuses connections does not count as ended")
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,7 @@
 	fleet       *fleet
 	pool        *upstream.Pool
 	ends        *endProber
+	prompts     *promptGuard
 	metrics     *counters
 	experts     *experts.Coordinator
 	listen      net.ListenConfig
@@ -78,7 +79,9 @@
 	fetchedStates chan fetchedState
 	stateRequests chan stateRequest
 	memberLists   chan memberList
-	leave         chan struct{}
+	// quarantineRecords are to be stored.
+	quarantineRecords chan quarantineRecord
+	leave             chan struct{}
 	// started is closed when this entry first knows the configuration and a backend server.
 	started chan struct{}
 	// stopped is closed when the process ends.
@@ -103,21 +106,23 @@
 		}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		pool:    upstream.NewPool(connectTimeout),
 		ends:    newEndProber(),
+		prompts: newPromptGuard(s.IP),
 		listen:  net.ListenConfig{Control: upstream.SetTCPUserTimeout, KeepAliveConfig: upstream.KeepAliveConfig()},
 		metrics: counters,
 		peerClient: &http.Client{Transport: &http.Transport{
 			DialContext:       (&net.Dialer{Timeout: connectTimeout}).DialContext,
 			DisableKeepAlives: true,
 		}},
-		membersInterval: membersInterval,
-		updates:         make(chan topicUpdate, maxPendingUpdates),
-		heartbeats:      make(chan *api.PeerBeat, maxPendingHeartbeats),
-		fetchedStates:   make(chan fetchedState),
-		stateRequests:   make(chan stateRequest),
-		memberLists:     make(chan memberList),
-		leave:           make(chan struct{}),
-		started:         make(chan struct{}),
-		stopped:         make(chan struct{}),
+		membersInterval:   membersInterval,
+		updates:           make(chan topicUpdate, maxPendingUpdates),
+		heartbeats:        make(chan *api.PeerBeat, maxPendingHeartbeats),
+		fetchedStates:     make(chan fetchedState),
+		stateRequests:     make(chan stateRequest),
+		memberLists:       make(chan memberList),
+		quarantineRecords: make(chan quarantineRecord, maxPendingQuarantines),
+		leave:             make(chan struct{}),
+		started:           make(chan struct{}),
+		stopped:           make(chan struct{}),
 	}
 	g.fleet.ejections, g.fleet.limitsStated, g.fleet.restsAsked = counters.ejected, counters.limited, counters.rested
 	g.fleet.divisions = counters.divisions
@@ -157,6 +162,7 @@
 	addPart(g.newFollower(platform.TopicServers, 0, serversInterval).run)
 	addPart(g.receiveHeartbeats)
 	addPart(g.maintainMembership)
+	addPart(g.maintainQuarantines)
 	addPart(g.sweepConnections)
 	addPart(g.experts.Run)
 	group.Add(func() error { return g.serveAll(ctx, partsCtx, endpoints) }, func(error) { cancel() })
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/decide/quarantine"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/internal/routing"
@@ -47,6 +48,8 @@
 	history history
 	// tried are the backend servers of the attempts so far.
 	tried []string
+	// permit holds the parts of the prompt that this request tries.
+	permit quarantine.Permit
 	// out is the caller's side.
 	out *output
 }
@@ -173,6 +176,11 @@
 // forward sends a request to one backend server after another, until the caller has its answer or
 // no further attempt is allowed.
 func (g *Gateway) forward(ctx context.Context, t *task) {
+	if err := g.prompts.await(ctx, t, queueWait(t.route, timeLeft(t.deadline, clock.Now()))); err != nil {
+		g.giveUp(ctx, t, err)
+		return
+	}
+	defer g.prompts.release(t)
 	g.fleet.countRequest(t.service)
 	id, s, err := g.fleet.admitRequest(ctx, t, clock.Now())
 	if err != nil {
@@ -185,6 +193,11 @@
 	took := time.Duration(0)
 	defer func() { g.fleet.endRequest(id, t.service, took, clock.Now()) }()
 	for {
+		if d := g.prompts.acquire(t, clock.Now()); d.Action != quarantine.Send {
+			g.fleet.endAttempt(s.ID, outcomeUnknown, 0, clock.Now())
+			g.giveUp(ctx, t, refusedPrompt(d))
+			return
+		}
 		t.tried = append(t.tried, s.ID)
 		attempted := g.attempt(ctx, t, s)
 		outcome := attempted.outcome
@@ -221,6 +234,11 @@
 			g.giveUp(ctx, t, result.New(api.ResultCode_SATURATED))
 			return
 		}
+		g.prompts.release(t)
+		if err := g.prompts.await(ctx, t, maxRetryServerWait); err != nil {
+			g.giveUp(ctx, t, err)
+			return
+		}
 		if s, err = g.waitForRetryServer(ctx, t, outcome); err != nil {
 			g.giveUp(ctx, t, err)
 			return
@@ -384,6 +402,10 @@
 	if err.RetryAfter > 0 {
 		longest = err.RetryAfter
 	}
+	if err.Code == api.ResultCode_PROMPT_QUARANTINED && err.NotBefore > 0 {
+		// Nothing changes before the caller's deadline: an earlier repeat would be refused as well.
+		return err.NotBefore
+	}
 	if err.NotBefore > 0 {
 		least, longest = err.NotBefore, err.NotBefore+maxRetryAfter
 	}
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -27,6 +27,7 @@
 	c.g.fleet.setOthersInFlight(c.peerLoads.Set(b.GetIp(), peering.InFlight(b)), c.peerLoads, now)
 	c.g.fleet.recordRateLimitReports(b.GetRateLimits(), now)
 	c.g.fleet.setDemands(b.GetIp(), b.GetDemands(), now)
+	c.g.prompts.hear(b, now)
 	for _, s := range b.GetLeavingServers() {
 		c.markLeaving(registry.Start{ID: s.GetId(), StartedAtUnixMs: s.GetStartedAtUnixMs()}, now)
 	}
@@ -88,5 +89,6 @@
 		others[live[(int(c.sequence)*maxOthers+i)%len(live)].GetIp()] = true
 	}
 	b.OtherIps = peering.PackIPs(slices.Sorted(maps.Keys(others)))
+	c.g.prompts.report(b, now)
 	c.g.sendHeartbeat(b, due)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,8 @@
 	limited, rested metrics.Counter
 	// divisions counts how often the slots of a service began to be divided by urgency.
 	divisions metrics.Counter
+	// quarantined counts how often a part of prompts was quarantined.
+	quarantined metrics.Counter
 	// silentVMs counts VMs of backend servers that went silent. moved counts the requests that were moved
 	// to another server, movedFromSlow those of them that left a slow one.
 	silentVMs, moved, movedFromSlow     metrics.Counter
@@ -56,6 +58,7 @@
 		moved:         metrics.NewRegisteredCounter("gateway.attempts.moved", r),
 		movedFromSlow: metrics.NewRegisteredCounter("gateway.attempts.moved.slow", r),
 		divisions:     metrics.NewRegisteredCounter("gateway.urgency.divided", r),
+		quarantined:   metrics.NewRegisteredCounter("gateway.prompts.quarantined", r),
 		storeReads:    metrics.NewRegisteredCounter("gateway.store.reads", r),
 		storeWrites:   metrics.NewRegisteredCounter("gateway.store.writes", r),
 		storeFailures: metrics.NewRegisteredCounter("gateway.store.failed", r),
