Break off answers without a length whose server has ended

An answer may have neither a length nor chunks and end with its connection. A server that ends as it begins such a stream closes the connection in the same way, and the entry took the stream for a whole one without events: its caller got an empty answer, and the parts of the prompt counted as sound.

A stream without a length that has brought no event is broken off now, and so is any answer without a length whose server refuses connections right after it. The check costs one connection for each such answer.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -220,6 +220,9 @@
 	if len(body) > maxBufferedBytes {
 		return a.passOnLong(body)
 	}
+	if a.isCutByEnd() {
+		return a.breakOff(errCutByEnd)
+	}
 	a.isWhole = true
 	a.serverOutcome = outcomeServed
 	answer := &bufferedAnswer{status: a.resp.StatusCode, header: platform.IncomingHeader(a.resp.Header), body: body, server: a.server}
@@ -256,6 +259,9 @@
 	if _, err := io.CopyBuffer(out.w, a.resp.Body, make([]byte, copyBufferBytes)); err != nil {
 		return a.breakOff(err)
 	}
+	if a.isCutByEnd() {
+		return a.breakOff(errCutByEnd)
+	}
 	a.isWhole = true
 	a.serverOutcome = outcomeServed
 	return delivered
@@ -268,6 +274,9 @@
 	events := sse.NewReader(a.resp.Body)
 	for {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && (a.isEmpty() || a.isCutByEnd()) {
+			return a.breakOff(errCutByEnd)
+		}
 		if errors.Is(err, io.EOF) {
 			a.isWhole = true
 			a.serverOutcome = outcomeServed
@@ -294,6 +303,21 @@
 	}
 }
 
+// errCutByEnd is the error of an answer that ended with its connection, but not as a whole.
+var errCutByEnd = errors.New("the connection ended before the answer was whole")
+
+// isFramed reports whether an answer has a length or chunks. One without them ends with its connection.
+func (a *attempt) isFramed() bool {
+	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+}
+
+// isEmpty reports whether a stream that is not framed has brought nothing of the answer.
+func (a *attempt) isEmpty() bool { return !a.isFramed() && a.events == 0 && !a.t.out.begun }
+
+// isCutByEnd reports whether an answer that is not framed ended because its server did. The connections of
+// a server that ends may be closed in order, as at the end of a whole answer.
+func (a *attempt) isCutByEnd() bool { return !a.isFramed() && a.g.hasEnded(a.server.Server) }
+
 // isNextEvent reports whether an event comes after the last one. Events without an ID are
 // accepted in any order.
 func isNextEvent(id, last string) bool {
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -86,6 +86,16 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// hasEnded reports whether a server has ended unexpectedly, as far as one check tells.
+func (g *Gateway) hasEnded(s registry.Server) bool {
+	if !g.fleet.endsUnexpectedly(s) {
+		return false
+	}
+	check := g.ends.start(s)
+	<-check.first
+	return check.ended.Load()
+}
+
 // checkEnd checks whether the server of a broken attempt has ended, and returns after the first check.
 // hasBegun means that the answer had got past its beginning.
 //
