Try sound requests before suspect ones, and end engines in the soak

Entries had restarted and knew no part as sound, and the first event of an answer, cut off by the next end, counted as other answers beginning although that answer had the shared part itself.

Only an answer that proves its parts sound counts as contrast now, so that a part which all requests share cannot be blamed. A request with several suspect parts waits one trial delay longer for each: those with fewer parts go first and prove them, or single out the bad one.

--- a/decide/quarantine/evidence.go
+++ b/decide/quarantine/evidence.go
@@ -105,15 +105,11 @@
 	return parts
 }
 
-// RecordBegun records that an answer of a service has begun.
-func (t *Tracker) RecordBegun(service string, now time.Duration) {
-	t.begunAt[service] = now
+// RecordSound records that an answer of a service has got past its beginning, which proves the parts of its
+// prompt sound. An answer that had only begun would not: it may have been cut off by the end of its server.
+func (t *Tracker) RecordSound(service string, parts []string, now time.Duration) {
+	t.soundAt[service] = now
 	t.isChanged = t.isChanged || len(t.suspects) > 0
-}
-
-// RecordSound records that an answer has got past its beginning, which proves the parts of its prompt
-// sound.
-func (t *Tracker) RecordSound(parts []string, now time.Duration) {
 	for _, part := range parts {
 		t.prove(part, now, now)
 	}
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -35,8 +35,9 @@
 	// under way shows that servers end for another reason. Default 500 ms.
 	OutageWindow time.Duration
 	// TrialDelay is the time after an end until a part under suspicion may be tried, once other answers
-	// have begun; MaxTrialDelay is that time if none has. Defaults 1 s and 5 s: the latter is longer than a
-	// group of engines takes to form again.
+	// have begun; MaxTrialDelay is that time if none has. A request with several such parts waits for
+	// another TrialDelay for each further one: those with fewer parts prove them sound, or single out the
+	// bad one. Defaults 1 s and 5 s: the latter is longer than a group of engines takes to form again.
 	TrialDelay, MaxTrialDelay time.Duration
 	// BaseTime is the length of the first quarantine of a part, MaxTime that of the longest. Each is twice
 	// as long as the one before. Defaults 1 min and 1 h: a trial that fails may cost a group of engines
@@ -90,8 +91,8 @@
 	entries []string
 
 	proofs proofLog
-	// begunAt is when an answer of each service last began here.
-	begunAt map[string]time.Duration
+	// soundAt is when an answer of each service last got past its beginning here.
+	soundAt map[string]time.Duration
 	// ends are the ends of servers, the oldest first.
 	ends []*end
 	// suspects are the parts under suspicion, with the latest end that counts against each.
@@ -113,7 +114,7 @@
 func New(self string, cfg Config) *Tracker {
 	return &Tracker{
 		cfg: cfg.withDefaults(), self: self, entries: []string{self},
-		begunAt:        make(map[string]time.Duration),
+		soundAt:        make(map[string]time.Duration),
 		suspects:       make(map[string]suspicion),
 		quarantines:    make(map[string]*quarantine),
 		trials:         make(map[string]bool),
--- a/decide/quarantine/quarantine_test.go
+++ b/decide/quarantine/quarantine_test.go
@@ -67,8 +67,7 @@
 // sound has an entry pass on an answer with these parts in its prompt.
 func (w *world) sound(entry int, parts ...string) {
 	w.pass(50 * msec)
-	w.entries[entry].RecordBegun(service, w.now)
-	w.entries[entry].RecordSound(parts, w.now)
+	w.entries[entry].RecordSound(service, parts, w.now)
 }
 
 // server returns a server that has not ended yet.
@@ -99,10 +98,10 @@
 	}
 }
 
-// mayTry reports whether an entry sends a request with a part now. It leaves no trial behind.
-func (w *world) mayTry(entry int, part string) bool {
+// mayTry reports whether an entry sends a request with some parts now. It leaves no trial behind.
+func (w *world) mayTry(entry int, parts ...string) bool {
 	p := &Permit{}
-	d := w.entries[entry].Acquire(p, []string{part}, w.now)
+	d := w.entries[entry].Acquire(p, parts, w.now)
 	w.entries[entry].Release(p)
 	return d.Action == Send
 }
@@ -271,6 +270,24 @@
 	}
 }
 
+// All entries have forgotten which parts are sound, and no answer begins between the ends: of the requests
+// that share a part with the bad one, the sound ones must be tried first, or the shared part is blamed too.
+func TestRequestsWithFewerSuspectsAreTriedFirst(t *testing.T) {
+	w := newWorld(t, 1)
+	w.end(0, "first", bad)
+	w.pass(5 * time.Second)
+	if w.mayTry(0, "first", bad) {
+		t.Error("the bad request is tried with the sound ones")
+	}
+	if !w.mayTry(0, "first") {
+		t.Error("the sound request is not tried")
+	}
+	w.pass(time.Second)
+	if !w.mayTry(0, "first", bad) {
+		t.Error("the two parts are never tried together")
+	}
+}
+
 // quarantined returns a world in which all entries refuse the bad part.
 func quarantined(t *testing.T, entries int) *world {
 	w := newWorld(t, entries)
@@ -333,7 +350,7 @@
 	w := quarantined(t, 2)
 	w.pass(time.Second)
 	late := New("10.0.0.9", Config{})
-	late.RecordSound([]string{bad}, w.now)
+	late.RecordSound(service, []string{bad}, w.now)
 	w.entries = append(w.entries, late)
 	w.pass(200 * msec)
 	w.checkQuarantined()
@@ -346,7 +363,7 @@
 	for n := range 50_000 {
 		now += 10 * msec
 		part := fmt.Sprint("p", n)
-		e.RecordSound([]string{part}, now)
+		e.RecordSound(service, []string{part}, now)
 		if n%10 == 0 {
 			e.RecordEnd(ServerStart{Hash: uint32(n)}, service, []string{part + "x", part + "y"}, now)
 			e.HearQuarantine(Quarantine{Part: part + "z", Left: time.Minute, Strikes: 1}, now)
--- a/decide/quarantine/trial.go
+++ b/decide/quarantine/trial.go
@@ -39,8 +39,9 @@
 	}
 	var tried []string
 	decision := Decision{}
+	suspects := t.countSuspects(parts)
 	for _, part := range parts {
-		d := t.check(part, now)
+		d := t.check(part, suspects, now)
 		isHeld := slices.Contains(p.parts, part)
 		if d.Action == Send && t.isRestricted(part) && !isHeld {
 			tried = append(tried, part)
@@ -76,8 +77,18 @@
 	return isSuspect || t.quarantines[part] != nil
 }
 
-// check decides whether a part may be sent, if only as a trial.
-func (t *Tracker) check(part string, now time.Duration) Decision {
+func (t *Tracker) countSuspects(parts []string) int {
+	n := 0
+	for _, part := range parts {
+		if _, isSuspect := t.suspects[part]; isSuspect {
+			n++
+		}
+	}
+	return n
+}
+
+// check decides whether a part may be sent, if only as a trial, in a request with a number of suspects.
+func (t *Tracker) check(part string, suspects int, now time.Duration) Decision {
 	if q := t.quarantines[part]; q != nil {
 		if now < q.until {
 			return Decision{Action: Refuse, Part: part, Left: q.until - now}
@@ -92,9 +103,10 @@
 		return Decision{}
 	}
 	delay := t.cfg.MaxTrialDelay
-	if t.begunAt[s.service] > s.lastEnd {
+	if t.soundAt[s.service] > s.lastEnd {
 		delay = t.cfg.TrialDelay
 	}
+	delay += time.Duration(suspects-1) * t.cfg.TrialDelay
 	if left := s.lastEnd + delay - now; left > 0 {
 		return Decision{Action: Wait, Part: part, Left: left}
 	}
--- a/decide/quarantine/verdict.go
+++ b/decide/quarantine/verdict.go
@@ -118,7 +118,7 @@
 // isGuilty reports whether the evidence is enough to quarantine a part.
 func (t *Tracker) isGuilty(part string, ev *evidence, all map[string]*evidence) bool {
 	score := t.score(len(ev.settled), ev.wasProven)
-	if score < t.cfg.MinEnds || t.begunAt[ev.settled[0].service] <= ev.settled[0].at {
+	if score < t.cfg.MinEnds || t.soundAt[ev.settled[0].service] <= ev.settled[0].at {
 		return false
 	}
 	return score >= t.cfg.MinTiedEnds || !t.isTied(part, ev, all)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -94,7 +94,7 @@
 	case outcome == broken:
 		g.checkEnd(t, s.Server, a.events >= soundEvents)
 	case a.isWhole && a.serverOutcome == outcomeServed:
-		g.prompts.recordWhole(t, clock.Now())
+		g.prompts.recordSound(t, clock.Now())
 	}
 	if next == nil {
 		return attemptResult{outcome: outcome, err: a.err, asksForRest: a.answer.Rest > 0}
@@ -298,8 +298,9 @@
 			return abandoned
 		}
 		a.watchdog.noteEvent()
-		a.events++
-		a.g.prompts.recordEvents(a.t, a.events, clock.Now())
+		if a.events++; a.events == soundEvents {
+			a.g.prompts.recordSound(a.t, clock.Now())
+		}
 	}
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -114,22 +114,16 @@
 	return err
 }
 
-// recordBegun records that a request's answer has its given number of events from this server.
-func (p *promptGuard) recordEvents(t *task, events int, now time.Duration) {
-	if len(t.SharedParts) == 0 || events > soundEvents {
+// recordSound records that a request's answer has got past its beginning.
+func (p *promptGuard) recordSound(t *task, now time.Duration) {
+	if len(t.SharedParts) == 0 {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tracker.RecordBegun(t.service, now)
-	if events == soundEvents {
-		p.tracker.RecordSound(t.SharedParts, now)
-	}
+	p.tracker.RecordSound(t.service, t.SharedParts, now)
 }
 
-// recordWhole records that a request's answer is whole.
-func (p *promptGuard) recordWhole(t *task, now time.Duration) { p.recordEvents(t, soundEvents, now) }
-
 // recordEnd records that a server has ended while it had a request. hasBegun means that the answer had got
 // past its beginning.
 func (p *promptGuard) recordEnd(t *task, server quarantine.ServerStart, hasBegun bool, now time.Duration) {
--- a/test/fakeplatform/group.go
+++ b/test/fakeplatform/group.go
@@ -70,9 +70,19 @@
 	// streams that run on each rank.
 	paces   []float64
 	running []int
+	// onBegin is called before an answer begins; if it returns false, the connection is closed.
+	onBegin func(rank int, r *http.Request) bool
 	stopped atomic.Bool
 }
 
+// OnBegin sets a function that is called before an engine begins an answer. If it returns false, the
+// engine closes the connection instead.
+func (g *Group) OnBegin(f func(rank int, r *http.Request) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.onBegin = f
+}
+
 // NewGroup starts a group that stops at the end of the test.
 func NewGroup(report harness.Reporter, shape GroupShape, seed uint64) *Group {
 	report.Helper()
@@ -325,6 +335,11 @@
 // RegisterEngines registers engines under a service; addresses are in order of rank.
 func (s *Store) RegisterEngines(addresses []string, service string, domains []string) {
 	for index, address := range addresses {
-		s.registerAs(service, fmt.Sprintf("e-%d", index), address, Registration{FailureDomain: domains[index%len(domains)], Concurrency: 12}, "ready")
+		s.RegisterEngine(index, address, service, domains[index%len(domains)], 0)
 	}
 }
+
+// RegisterEngine registers the engine of a rank that has started anew some times under its ID.
+func (s *Store) RegisterEngine(rank int, address, service, domain string, restarts int) {
+	s.registerAs(service, fmt.Sprintf("e-%d", rank), address, Registration{FailureDomain: domain, Concurrency: 12, Restarts: restarts}, "ready")
+}
--- a/test/fakeplatform/stream.go
+++ b/test/fakeplatform/stream.go
@@ -109,6 +109,7 @@
 	}
 	g.runs = append(g.runs, Run{Request: id, Rank: index, StartedAt: time.Now()})
 	g.running[index]++
+	onBegin := g.onBegin
 	g.mu.Unlock()
 	defer func() {
 		g.mu.Lock()
@@ -116,6 +117,9 @@
 		g.mu.Unlock()
 	}()
 	w.Header().Set("Attempt-Id", id)
+	if onBegin != nil && !onBegin(index, r) {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Upstream-Signature", "sig")
 	w.Header().Set("Content-Type", "text/event-stream")
 	after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
--- a/test/harness/forwarder.go
+++ b/test/harness/forwarder.go
@@ -59,7 +59,7 @@
 		return nil, errors.Wrap(err, "listen")
 	}
 	f := &Forwarder{Address: listener.Addr().String(), listener: listener, targetAddress: target, conns: map[*forwardedConn]bool{}}
-	go f.accept()
+	go f.accept(listener)
 	return f, nil
 }
 
@@ -119,18 +119,43 @@
 // Delay delays each chunk of data by d, in both directions.
 func (f *Forwarder) Delay(d time.Duration) { f.delay.Store(int64(d)) }
 
+// EndProcess lets the other side look like a process that has ended: existing connections are closed, and
+// nothing listens at the address until StartProcess.
+func (f *Forwarder) EndProcess() {
+	f.mu.Lock()
+	_ = f.listener.Close()
+	f.mu.Unlock()
+	f.Cut()
+}
+
+// StartProcess ends EndProcess.
+func (f *Forwarder) StartProcess() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return nil
+	}
+	listener, err := net.Listen("tcp", f.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	f.listener = listener
+	go f.accept(listener)
+	return nil
+}
+
 // Close stops the forwarder and closes its connections.
 func (f *Forwarder) Close() {
-	_ = f.listener.Close()
 	f.mu.Lock()
+	_ = f.listener.Close()
 	f.closed = true
 	f.mu.Unlock()
 	f.Cut()
 }
 
-func (f *Forwarder) accept() {
+func (f *Forwarder) accept(listener net.Listener) {
 	for {
-		client, err := f.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/test/site_soak_callers_test.go
+++ b/test/site_soak_callers_test.go
@@ -76,10 +76,16 @@
 
 // readStream reads a stream through one gateway.
 func readStream(client *http.Client, address, path string) streamResult {
+	return readStreamOf(client, address, path, fmt.Sprintf("first:40,topic%d:100,%s:20", len(path)%3, path))
+}
+
+// readStreamOf is readStream with the parts of the prompt.
+func readStreamOf(client *http.Client, address, path, prompt string) streamResult {
 	req, err := fakeplatform.NewRequest(address, "/draft/"+path, path)
 	if err != nil {
 		return streamResult{}
 	}
+	req.Header.Set("Prompt-Prefix", prompt)
 	resp, err := client.Do(req)
 	if err != nil {
 		var dial *net.OpError
--- a/test/site_soak_test.go
+++ b/test/site_soak_test.go
@@ -53,6 +53,7 @@
 	serverLinks, storeLinks []*harness.Forwarder
 	pushes                  *pushLedger
 	statements              *serverStatements
+	prompts                 *crashingPrompts
 	// arrivals holds the arrival times of each backend server that is treated as cold, by its ID.
 	arrivals  map[string]*arrivalTimes
 	startedAt time.Time
@@ -110,6 +111,7 @@
 		addresses = append(addresses, link.Address)
 	}
 	s.store.RegisterEngines(addresses, "drafts", domains)
+	s.prompts = newCrashingPrompts(s, s.serverLinks[len(s.serverLinks)-engines:])
 	waitFor(t, "the group runs with a first map of the coordinator", func() bool { return s.group.State().Version != 0 })
 	for _, a := range s.arrivals {
 		a.clear()
@@ -185,14 +187,17 @@
 			}
 		})
 	}
+	s.callers.Go(s.sendCrashingDrafts)
 	var wg sync.WaitGroup
 	for _, b := range s.faultInjectors(injectors) {
 		wg.Go(func() { b.injectFor(duration) })
 	}
 	wg.Wait()
+	calmSince := time.Now()
 	s.waitForService()
 	s.checkStopAndDomainOut()
 	s.checkStatements()
+	s.checkCrashingPrompts(calmSince)
 	close(s.stop)
 	s.callers.Wait()
 	s.check(stalls.finish())
@@ -203,7 +208,8 @@
 // gateway is gone. No push may run twice, each "not run" must be true, each stream must be a prefix
 // of the caller's own and a complete one whole, no pass may have two maps, no cold server may get
 // more than its limit, no gateway may return to an older configuration, and each refusal must have
-// a Retry-After. Callers must be served soon after the faults. A graceful shutdown must then cut
+// a Retry-After. Callers must be served soon after the faults, while requests come that end the engine
+// which begins to answer them. A graceful shutdown must then cut
 // nothing, and a failure domain that is taken out must get no new requests.
 func TestSiteSoak(t *testing.T) {
 	t.Parallel()
