Store a quarantine whoever found it, and drop stored ones that are long over

Two entries are chosen to store a quarantine, but one that heard of it before it had weighed the evidence itself did not: with both of them late nothing was stored, and all entries restarting at once would have forgotten the part. They store what other entries report as well now; only what was read from the store is not written again. Records that ended over an hour ago are removed at the next start (TestARestartedEntryReadsStoredQuarantines).

--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -127,7 +127,7 @@
 
 // Changes are the quarantines that have begun and ended since the last tick.
 type Changes struct {
-	// Begun are new or longer quarantines; those with Heard set were reported by another entry.
+	// Begun are new or longer quarantines.
 	Begun []Quarantine
 	// Ended are the parts that have been proven sound here.
 	Ended []string
@@ -143,10 +143,25 @@
 	Strikes int
 	// Ends is the number of servers that ended under the part as this entry knows.
 	Ends int
-	// Heard means that another entry, or the store, has told of it.
-	Heard bool
+	// Source is who found it.
+	Source Source
 }
 
+// Source is who found a quarantine.
+type Source uint8
+
+const (
+	// Found: this entry found it by the evidence.
+	Found Source = iota
+	// Reported: another entry has reported it.
+	Reported
+	// Stored: it was stored when this entry started.
+	Stored
+)
+
+// String returns the source as logs show it.
+func (s Source) String() string { return [...]string{"found", "reported", "stored"}[s] }
+
 // Tick weighs the evidence, and returns what has changed since the last tick.
 func (t *Tracker) Tick(now time.Duration) Changes {
 	t.forget(now)
--- a/decide/quarantine/quarantine_test.go
+++ b/decide/quarantine/quarantine_test.go
@@ -60,6 +60,7 @@
 		to.HearEnd(e, now)
 	}
 	for _, q := range from.Quarantines(8, now) {
+		q.Source = Reported
 		to.HearQuarantine(q, now)
 	}
 }
--- a/decide/quarantine/verdict.go
+++ b/decide/quarantine/verdict.go
@@ -198,7 +198,6 @@
 	}
 	q.strikes, q.since, q.until = heard.Strikes, since, until
 	delete(t.suspects, heard.Part)
-	heard.Heard = true
 	t.changes.Begun = append(t.changes.Begun, heard)
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -154,6 +154,7 @@
 	for _, q := range b.GetQuarantines() {
 		p.tracker.HearQuarantine(quarantine.Quarantine{
 			Part: q.GetPart(), Age: millis(q.GetAgeMs()), Left: time.Duration(q.GetLeftMs()) * time.Millisecond, Strikes: int(q.GetStrikes()),
+			Source: quarantine.Reported,
 		}, now)
 	}
 }
@@ -196,14 +197,14 @@
 	for _, q := range changes.Begun {
 		c.g.metrics.quarantined.Inc(1)
 		_ = level.Warn(c.logger).Log("msg", "A part of prompts ends backend servers, and requests with it are refused.", "prompt_part", q.Part,
-			"for_ms", q.Left.Milliseconds(), "times", q.Strikes, "servers_ended", q.Ends, "heard", q.Heard,
+			"for_ms", q.Left.Milliseconds(), "times", q.Strikes, "servers_ended", q.Ends, "source", q.Source,
 			"result", result.Label(api.ResultCode_PROMPT_QUARANTINED))
-		if !q.Heard {
+		if q.Source != quarantine.Stored {
 			c.g.storeQuarantine(q, entries)
 		}
 	}
 	for _, part := range changes.Ended {
 		_ = level.Info(c.logger).Log("msg", "A part of prompts that had ended backend servers is sound.", "prompt_part", part)
-		c.g.storeSound(part)
+		c.g.removeStored(part)
 	}
 }
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -21,6 +21,8 @@
 	// quarantineWriters is the number of entries that store a quarantine: all find it at about the same
 	// time, and one of them may have no path to the store.
 	quarantineWriters = 2
+	// storedFor is how long after its end a quarantine stays in the store, for the next one to be longer.
+	storedFor = time.Hour
 	// maxPendingQuarantines is the number of records that may wait to be stored.
 	maxPendingQuarantines = 64
 	// maxStoreAttempts limits the attempts to store one record.
@@ -50,8 +52,8 @@
 	g.queueQuarantine(quarantineRecord{q.Part, value})
 }
 
-// storeSound has the end of a quarantine stored.
-func (g *Gateway) storeSound(part string) { g.queueQuarantine(quarantineRecord{part: part}) }
+// removeStored has a quarantine removed from the store.
+func (g *Gateway) removeStored(part string) { g.queueQuarantine(quarantineRecord{part: part}) }
 
 func (g *Gateway) queueQuarantine(r quarantineRecord) {
 	select {
@@ -108,7 +110,7 @@
 	if err != nil {
 		return errors.Wrap(err, "list quarantines")
 	}
-	now := time.Now().UnixMilli()
+	now := time.Now()
 	for _, r := range listing.Records {
 		stored := &api.StoredQuarantine{}
 		if err := proto.Unmarshal(r.Value, stored); err != nil {
@@ -116,7 +118,11 @@
 				"result", result.Label(api.ResultCode_BAD_LIST))
 			continue
 		}
-		g.prompts.hearStored(r.Key, stored, now, clock.Now())
+		if until := time.UnixMilli(stored.GetUntilUnixMs()); now.Sub(until) > storedFor {
+			g.removeStored(r.Key)
+			continue
+		}
+		g.prompts.hearStored(r.Key, stored, now.UnixMilli(), clock.Now())
 	}
 	return nil
 }
@@ -129,5 +135,6 @@
 	p.tracker.HearQuarantine(quarantine.Quarantine{
 		Part: part, Age: time.Duration(unixMs-stored.GetBegunAtUnixMs()) * time.Millisecond,
 		Left: time.Duration(stored.GetUntilUnixMs()-unixMs) * time.Millisecond, Strikes: int(stored.GetStrikes()),
+		Source: quarantine.Stored,
 	}, now)
 }
--- a/internal/logging/keys.go
+++ b/internal/logging/keys.go
@@ -63,7 +63,7 @@
 	{"answer_begun", "whether the answer had got past its beginning when the server ended"},
 	{"times", "how often the part has been quarantined"},
 	{"servers_ended", "number of backend servers that ended under the part, as this process knows"},
-	{"heard", "whether another process, or the store, has told of it"},
+	{"source", "who found the quarantine: this process (found), another entry (reported) or one before a restart (stored)"},
 	{"service", "service or model that the request goes to, or that the line is about"},
 	{"team", "team or customer whose API key the request carried"},
 	{"host", "host that the request asked for"},
