Blame no part by ends from before the entry's start

An entry that had just started heard of three ends from before, and took 'no answer yet' for an answer at its own start, later than those ends.

Contrast now needs an answer that this entry has seen (TestAnEntryThatHasJustStartedBlamesNoSharedPart, red before).

--- a/decide/quarantine/quarantine_test.go
+++ b/decide/quarantine/quarantine_test.go
@@ -154,6 +154,19 @@
 	}
 }
 
+// An entry has just started and hears of ends from before: as long as it has passed on no answer itself, it
+// has no contrast, and may not blame a part that all requests share.
+func TestAnEntryThatHasJustStartedBlamesNoSharedPart(t *testing.T) {
+	e := New("10.0.0.1", Config{})
+	now := 100 * msec
+	for n := range 3 {
+		e.HearEnd(End{Server: ServerStart{Hash: uint32(n)}, Service: service, Parts: []string{"first", bad}, Age: 2 * time.Second}, now)
+	}
+	if begun := e.Tick(now).Begun; len(begun) > 0 {
+		t.Errorf("it refuses %+v", begun)
+	}
+}
+
 // Two parts end servers in turn, and some requests have both.
 func TestTwoBadParts(t *testing.T) {
 	w := newWorld(t, 2)
--- a/decide/quarantine/trial.go
+++ b/decide/quarantine/trial.go
@@ -103,7 +103,7 @@
 		return Decision{}
 	}
 	delay := t.cfg.MaxTrialDelay
-	if t.soundAt[s.service] > s.lastEnd {
+	if t.wasSoundSince(s.service, s.lastEnd) {
 		delay = t.cfg.TrialDelay
 	}
 	delay += time.Duration(suspects-1) * t.cfg.TrialDelay
--- a/decide/quarantine/verdict.go
+++ b/decide/quarantine/verdict.go
@@ -118,12 +118,19 @@
 // isGuilty reports whether the evidence is enough to quarantine a part.
 func (t *Tracker) isGuilty(part string, ev *evidence, all map[string]*evidence) bool {
 	score := t.score(len(ev.settled), ev.wasProven)
-	if score < t.cfg.MinEnds || t.soundAt[ev.settled[0].service] <= ev.settled[0].at {
+	if score < t.cfg.MinEnds || !t.wasSoundSince(ev.settled[0].service, ev.settled[0].at) {
 		return false
 	}
 	return score >= t.cfg.MinTiedEnds || !t.isTied(part, ev, all)
 }
 
+// wasSoundSince reports whether an answer of a service has got past its beginning here since a time. The time
+// may be negative, before this process started.
+func (t *Tracker) wasSoundSince(service string, since time.Duration) bool {
+	at, ok := t.soundAt[service]
+	return ok && at > since
+}
+
 // isTied reports whether the evidence is as strong against another part.
 func (t *Tracker) isTied(part string, ev *evidence, all map[string]*evidence) bool {
 	return slices.ContainsFunc(ev.settled[0].parts, func(other string) bool {
