Tell of old quarantines sparingly

Each heartbeat told of all quarantines for as long as they last. At 490 entries that takes some KB a second for a few of them, of the 7 KB that all control may take.

--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -108,6 +108,8 @@
 	isChanged bool
 	settlesAt time.Duration
 	changes   Changes
+	// reports counts the reports to other entries.
+	reports uint64
 }
 
 // New returns the tracker of the entry with IP self.
--- a/decide/quarantine/report.go
+++ b/decide/quarantine/report.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/apricothub/apricothub/decide/subset"
 )
 
 // maxReportedParts limits the parts of a reported end, those that may have ended the server first.
@@ -37,13 +39,25 @@
 	return proofs
 }
 
-// Quarantines returns the quarantines that this entry knows, in random order, at most limit of them.
+// tellersPerReport is the number of entries, of all, that tell of a quarantine in the time of one report
+// once it is no longer new: enough that an entry which restarts hears of it at once, and as few bytes for
+// each entry however many there are.
+const tellersPerReport = 4
+
+// Quarantines returns the quarantines to tell other entries of in the next report, in random order, at most
+// limit of them: those that are new, and each of the others once in a while.
 func (t *Tracker) Quarantines(limit int, now time.Duration) []Quarantine {
+	t.reports++
+	period := uint64(1 + len(t.entries)/tellersPerReport)
 	var quarantines []Quarantine
 	for part, q := range t.quarantines {
 		if len(quarantines) == limit {
 			break
 		}
+		isTurn := (t.reports+subset.Key(t.self+part))%period == 0
+		if now-q.since > t.cfg.ReportTime && !isTurn {
+			continue
+		}
 		quarantines = append(quarantines, Quarantine{Part: part, Age: now - q.since, Left: q.until - now, Strikes: q.strikes})
 	}
 	return quarantines
