Tell of earlier ends in turn, so that evidence outlives restarts

If entries restart one after the other between two ends of servers, no entry has seen both, and each further round of restarts starts from nothing. Ends that still speak against a part are told by some entries in each heartbeat now, for as long as they count (TestEvidenceOutlivesRestartsInTurn, red before).

--- a/decide/quarantine/quarantine_test.go
+++ b/decide/quarantine/quarantine_test.go
@@ -384,6 +384,27 @@
 	}
 }
 
+// Entries restart one after the other between two ends: none of them has seen both, and those that have seen
+// the first are gone.
+func TestEvidenceOutlivesRestartsInTurn(t *testing.T) {
+	w := newWorld(t, 3)
+	w.end(0, "first", bad)
+	w.sound(0, "first")
+	for i := range w.entries {
+		w.pass(5 * time.Second)
+		restarted := New(w.entries[i].self, Config{})
+		restarted.SetEntries(w.entries[i].entries)
+		w.entries[i] = restarted
+	}
+	w.pass(time.Second)
+	w.sound(0, "first")
+	w.end(2, "first", bad)
+	w.pass(time.Second)
+	w.sound(0, "first")
+	w.pass(time.Second)
+	w.checkQuarantined(bad)
+}
+
 // An entry was cut off while the others quarantined a part that it has proven sound since.
 func TestALaterProofEndsAQuarantineThatIsHeard(t *testing.T) {
 	w := quarantined(t, 2)
--- a/decide/quarantine/report.go
+++ b/decide/quarantine/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/apricothub/apricothub/decide/subset"
@@ -10,24 +11,67 @@
 // maxReportedParts limits the parts of a reported end, those that may have ended the server first.
 const maxReportedParts = 16
 
+// tellersPerReport is the number of entries, of all, that tell of something in the time of one report once it
+// is no longer new: enough that an entry which restarts hears of it at once, and as few bytes for each entry
+// however many there are.
+const tellersPerReport = 4
+
 // Proof is the news that a part has been proven sound.
 type Proof struct {
 	Part string
 	Age  time.Duration
 }
 
-// Ends returns the latest ends of servers that had requests of this entry, at most limit of them, for the
-// other entries.
+// Ends returns ends of servers to tell the other entries of in the next report, the latest first and at most
+// limit of them: new ones that had requests of this entry, and each of the others once in a while, with the
+// parts that they still speak against. Otherwise the evidence would be lost if entries restart in turn.
 func (t *Tracker) Ends(limit int, now time.Duration) []End {
 	var ends []End
 	for i := len(t.ends) - 1; i >= 0 && len(ends) < limit; i-- {
-		if e := t.ends[i]; e.isOwn && now-e.at <= t.cfg.ReportTime {
-			ends = append(ends, End{Server: e.server, Service: e.service, Parts: t.reportedParts(e), Age: now - e.at})
+		e := t.ends[i]
+		isNew := now-e.at <= t.cfg.ReportTime
+		if isNew && e.isOwn {
+			ends = append(ends, t.reportOf(e, e.ownParts, now))
+		} else if !isNew && t.isTurn(strconv.FormatUint(uint64(e.server.Hash), 10)) {
+			if parts := t.openParts(e); len(parts) > 0 {
+				ends = append(ends, t.reportOf(e, parts, now))
+			}
 		}
 	}
 	return ends
 }
 
+// openParts returns the parts that an end still speaks against.
+func (t *Tracker) openParts(e *end) []string {
+	var open []string
+	for _, part := range e.parts {
+		if t.quarantines[part] != nil {
+			return nil
+		}
+		if provenAt, isProven := t.proofs.at(part); !isProven || provenAt < e.at {
+			open = append(open, part)
+		}
+	}
+	return open
+}
+
+// reportOf returns the report of an end with some parts, those that have not been proven for longest first.
+func (t *Tracker) reportOf(e *end, parts []string, now time.Duration) End {
+	parts = slices.Clone(parts)
+	slices.SortStableFunc(parts, func(a, b string) int {
+		provenA, _ := t.proofs.at(a)
+		provenB, _ := t.proofs.at(b)
+		return int(provenA - provenB)
+	})
+	return End{Server: e.server, Service: e.service, Parts: parts[:min(len(parts), maxReportedParts)], Age: now - e.at}
+}
+
+// isTurn reports whether something that is no longer new is told in this report.
+func (t *Tracker) isTurn(name string) bool {
+	period := uint64(1 + len(t.entries)/tellersPerReport)
+	return (t.reports+subset.Key(t.self+name))%period == 0
+}
+
 // Proofs returns the proofs of parts that are, or lately were, held against them, at most limit of them.
 func (t *Tracker) Proofs(limit int, now time.Duration) []Proof {
 	var proofs []Proof
@@ -39,36 +83,19 @@
 	return proofs
 }
 
-// tellersPerReport is the number of entries, of all, that tell of a quarantine in the time of one report
-// once it is no longer new: enough that an entry which restarts hears of it at once, and as few bytes for
-// each entry however many there are.
-const tellersPerReport = 4
-
 // Quarantines returns the quarantines to tell other entries of in the next report, in random order, at most
 // limit of them: those that are new, and each of the others once in a while.
 func (t *Tracker) Quarantines(limit int, now time.Duration) []Quarantine {
 	t.reports++
-	period := uint64(1 + len(t.entries)/tellersPerReport)
 	var quarantines []Quarantine
 	for part, q := range t.quarantines {
 		if len(quarantines) == limit {
 			break
 		}
-		isTurn := (t.reports+subset.Key(t.self+part))%period == 0
-		if now-q.since > t.cfg.ReportTime && !isTurn {
+		if now-q.since > t.cfg.ReportTime && !t.isTurn(part) {
 			continue
 		}
 		quarantines = append(quarantines, Quarantine{Part: part, Age: now - q.since, Left: q.until - now, Strikes: q.strikes})
 	}
 	return quarantines
 }
-
-func (t *Tracker) reportedParts(e *end) []string {
-	parts := slices.Clone(e.ownParts)
-	slices.SortStableFunc(parts, func(a, b string) int {
-		provenA, _ := t.proofs.at(a)
-		provenB, _ := t.proofs.at(b)
-		return int(provenA - provenB)
-	})
-	return parts[:min(len(parts), maxReportedParts)]
-}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -403,8 +403,8 @@
 		longest = err.RetryAfter
 	}
 	if err.Code == api.ResultCode_PROMPT_QUARANTINED && err.NotBefore > 0 {
-		// Nothing changes before the caller's deadline: an earlier repeat would be refused as well.
-		return err.NotBefore
+		// A repeat before that would be refused as well, also where the caller's deadline is earlier.
+		return err.NotBefore + rand.N(maxRetryAfter)
 	}
 	if err.NotBefore > 0 {
 		least, longest = err.NotBefore, err.NotBefore+maxRetryAfter
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -108,9 +108,7 @@
 // refusedPrompt returns the refusal of a request because of a part of its prompt.
 func refusedPrompt(d quarantine.Decision) *result.Error {
 	err := result.New(api.ResultCode_PROMPT_QUARANTINED)
-	if d.Action == quarantine.Refuse {
-		err.NotBefore = d.Left
-	}
+	err.NotBefore = d.Left
 	return err
 }
 
