Show quarantined and suspect parts of prompts to operators

The state dump of a gateway lists the parts under which servers have ended, with the time for which requests with them are refused, and those under suspicion. The line about a request that is refused for its prompt names its shared parts.

--- a/decide/quarantine/report.go
+++ b/decide/quarantine/report.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -95,7 +96,19 @@
 		if now-q.since > t.cfg.ReportTime && !t.isTurn(part) {
 			continue
 		}
-		quarantines = append(quarantines, Quarantine{Part: part, Age: now - q.since, Left: q.until - now, Strikes: q.strikes})
+		quarantines = append(quarantines, q.report(part, now))
 	}
 	return quarantines
 }
+
+func (q *quarantine) report(part string, now time.Duration) Quarantine {
+	return Quarantine{Part: part, Age: now - q.since, Left: q.until - now, Strikes: q.strikes}
+}
+
+// State returns all quarantines and all suspect parts, in the order of the parts.
+func (t *Tracker) State(now time.Duration) (quarantines []Quarantine, suspects []string) {
+	for _, part := range slices.Sorted(maps.Keys(t.quarantines)) {
+		quarantines = append(quarantines, t.quarantines[part].report(part, now))
+	}
+	return quarantines, slices.Sorted(maps.Keys(t.suspects))
+}
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -12,17 +12,21 @@
 
 // dump is the state of the process for operators. It contains no keys.
 type dump struct {
-	VM          string       `json:"vm"`
-	Uptime      string       `json:"uptime"`
-	Ready       bool         `json:"ready"`
-	Leaving     bool         `json:"leaving"`
-	Config      int64        `json:"config_version"`
-	ConfigAge   int64        `json:"config_age_ms"`
-	ServersAge  int64        `json:"servers_age_ms"`
-	Entries     int          `json:"entries"`
-	Addresses   []string     `json:"addresses"`
-	Servers     []serverDump `json:"servers"`
-	Incarnation uint64       `json:"incarnation"`
+	VM         string       `json:"vm"`
+	Uptime     string       `json:"uptime"`
+	Ready      bool         `json:"ready"`
+	Leaving    bool         `json:"leaving"`
+	Config     int64        `json:"config_version"`
+	ConfigAge  int64        `json:"config_age_ms"`
+	ServersAge int64        `json:"servers_age_ms"`
+	Entries    int          `json:"entries"`
+	Addresses  []string     `json:"addresses"`
+	Servers    []serverDump `json:"servers"`
+	// Quarantined are the parts of prompts under which servers have ended, and Suspects those that may have
+	// ended one.
+	Quarantined []quarantineDump `json:"quarantined_parts,omitempty"`
+	Suspects    []string         `json:"suspect_parts,omitempty"`
+	Incarnation uint64           `json:"incarnation"`
 }
 
 type serverDump struct {
@@ -39,6 +43,13 @@
 	RateLimit *float64 `json:"rate_limit,omitempty"`
 }
 
+type quarantineDump struct {
+	Part string `json:"part"`
+	// LeftMs is negative if the quarantine is over and the part waits for a trial.
+	LeftMs int64 `json:"left_ms"`
+	Times  int   `json:"times"`
+}
+
 func (g *Gateway) serveDump(w http.ResponseWriter, _ *http.Request) {
 	d := dump{VM: g.settings.VM, Uptime: clock.Now().Round(time.Millisecond).String(), Leaving: g.leaving.Load(), Incarnation: g.incarnation}
 	if v := g.view.Load(); v != nil {
@@ -52,6 +63,7 @@
 		}
 	}
 	d.Servers = g.fleet.dump(clock.Now())
+	d.Quarantined, d.Suspects = g.prompts.dump(clock.Now())
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(d)
 }
@@ -73,3 +85,14 @@
 	slices.SortFunc(servers, func(a, b serverDump) int { return strings.Compare(a.ID, b.ID) })
 	return servers
 }
+
+func (p *promptGuard) dump(now time.Duration) ([]quarantineDump, []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	quarantines, suspects := p.tracker.State(now)
+	var dumped []quarantineDump
+	for _, q := range quarantines {
+		dumped = append(dumped, quarantineDump{Part: q.Part, LeftMs: q.Left.Milliseconds(), Times: q.Strikes})
+	}
+	return dumped, suspects
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -97,7 +97,11 @@
 // logEnd logs a request that ended without a backend server's answer.
 func (g *Gateway) logEnd(t *task, msg string, code api.ResultCode) {
 	_ = level.Warn(g.logger).Log(line(t, msg, func() [][]any {
-		return [][]any{{"result", result.Label(code), "tried", len(t.tried)}, g.requestFields(t), g.slotFields(t)}
+		var prompt []any
+		if code == api.ResultCode_PROMPT_QUARANTINED {
+			prompt = t.promptFields()
+		}
+		return [][]any{{"result", result.Label(code), "tried", len(t.tried)}, prompt, g.requestFields(t), g.slotFields(t)}
 	})...)
 }
 
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/test/fakeplatform"
 )
@@ -55,6 +56,9 @@
 	if got := e.ask(http.MethodPost, "/look/1", "c", withPrompt("first:1,own:3")); got.status != http.StatusOK {
 		t.Errorf("a request without the part got %v", got)
 	}
+	if quarantined, _ := e.prompts.dump(clock.Now()); len(quarantined) != 1 || quarantined[0].Part != "bad" || quarantined[0].Times != 1 {
+		t.Errorf("the state for operators holds %+v", quarantined)
+	}
 	e.until("a quarantine that is long over leaves the store", func() bool {
 		listing, err := e.store.ListNewest(t.Context(), topicQuarantines)
 		return err == nil && len(listing.Records) == 1
