--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -93,7 +93,7 @@
 	case len(t.SharedParts) == 0:
 	case outcome == broken:
 		g.checkEnd(t, s.Server, a.events >= soundEvents)
-	case a.isWhole && a.serverOutcome == outcomeServed:
+	case a.isWhole && a.serverOutcome == outcomeServed && a.events < soundEvents:
 		g.prompts.recordSound(t, clock.Now())
 	}
 	if next == nil {
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -200,11 +200,7 @@
 	f.updateCapacity(now)
 	f.lastID++
 	id := f.lastID
-	deadline := t.deadline
-	if deadline == 0 {
-		deadline = now + noDeadline
-	}
-	maxWait := queueWait(t.route, deadline-now)
+	maxWait := t.maxQueueWait(now)
 	if err := f.refusePaused(t.service, maxWait, now); err != nil {
 		f.mu.Unlock()
 		return 0, placement{}, err
@@ -214,7 +210,7 @@
 		waitUntil: now + maxWait, admitted: make(chan admission, 1),
 	}
 	d := f.admitter.Admit(now, admit.Request{
-		ID: id, Customer: t.team, Offer: offer(t.service), Deadline: deadline, Priority: -min(t.rank, maxRanks-1),
+		ID: id, Customer: t.team, Offer: offer(t.service), Deadline: now + t.patience(now), Priority: -min(t.rank, maxRanks-1),
 		OnTimeBy: f.onTimeBy(t), MaxWait: maxWait,
 	})
 	if d.Action == admit.Refuse {
@@ -230,6 +226,19 @@
 	return f.awaitAdmission(ctx, id, q, maxWait)
 }
 
+// patience returns the time until the deadline of a request, noDeadline for none.
+func (t *task) patience(now time.Duration) time.Duration {
+	if t.deadline == 0 {
+		return noDeadline
+	}
+	return t.deadline - now
+}
+
+// maxQueueWait returns how long a request may be queued.
+func (t *task) maxQueueWait(now time.Duration) time.Duration {
+	return queueWait(t.route, t.patience(now))
+}
+
 // queueWait returns how long a request of a route may be queued, given the time until its deadline.
 func queueWait(route *routing.Route, left time.Duration) time.Duration {
 	longest := maxQueueWait
