Check servers that broke off for fewer requests, and wait for proofs

When a group breaks, every entry checked every rank that had broken off one of its answers, with up to three connections each: thousands at the larger sites, for nothing, as most of these answers were under way. Those are checked now only if another server has just ended, which is when they show an outage; a request that is sent again waits 25 ms at most for the first check.

A request with a suspect part was refused at once where the part could not be tried within its wait, although another entry may prove the part sound at any moment: once 1 of 1,311 requests in TestPartsThatAllRequestsShareAreNotBlamedForOutages (load 20), with entries that had just restarted.

--- a/decide/quarantine/evidence.go
+++ b/decide/quarantine/evidence.go
@@ -56,6 +56,11 @@
 	}
 }
 
+// HasRecentEnd reports whether a server has ended within the time in which ends count as one outage.
+func (t *Tracker) HasRecentEnd(now time.Duration) bool {
+	return len(t.ends) > 0 && now-t.ends[len(t.ends)-1].at <= t.cfg.OutageWindow
+}
+
 // endOf returns the end of a server, a new one if it was not known; nil if it is too old to count.
 func (t *Tracker) endOf(server ServerStart, service string, at, now time.Duration) *end {
 	if now-at > t.cfg.EvidenceTime {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,8 +91,10 @@
 	g.fleet.endAttempt(s.ID, a.serverOutcome, clock.Now()-began, clock.Now())
 	switch {
 	case len(t.SharedParts) == 0:
+	case outcome == broken && a.events >= soundEvents:
+		go g.checkOutage(t, s.Server)
 	case outcome == broken:
-		g.checkEnd(t, s.Server, a.events >= soundEvents)
+		g.checkEnd(t, s.Server)
 	case a.isWhole && a.serverOutcome == outcomeServed && a.events < soundEvents:
 		g.prompts.recordSound(t, clock.Now())
 	}
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -96,27 +96,55 @@
 	return check.ended.Load()
 }
 
-// checkEnd checks whether the server of a broken attempt has ended, and returns after the first check.
-// hasBegun means that the answer had got past its beginning.
+// maxEndWait is how long a request waits for the first check of the server that broke off its answer: several
+// times a network delay. A request that is sent again must be held back if it may have ended the server.
+const maxEndWait = 25 * time.Millisecond
+
+// checkEnd checks whether the server of a broken attempt has ended while it had not begun the answer, and
+// waits for the first check.
 //
 // When a rank of a lock-step group ends, the other ranks break off their answers as well. Only the rank
 // that has ended can have been ended by a request that was at it.
-func (g *Gateway) checkEnd(t *task, s registry.Server, hasBegun bool) {
+func (g *Gateway) checkEnd(t *task, s registry.Server) {
 	if !g.fleet.endsUnexpectedly(s) {
 		return
 	}
 	check := g.ends.start(s)
-	<-check.first
-	if check.ended.Load() {
-		g.recordEnd(t, s, hasBegun)
-		return
-	}
+	recorded := make(chan struct{})
 	go func() {
+		defer close(recorded)
 		<-check.done
 		if check.ended.Load() {
-			g.recordEnd(t, s, hasBegun)
+			g.recordEnd(t, s, false)
 		}
 	}()
+	select {
+	case <-recorded:
+	case <-check.first:
+		if check.ended.Load() {
+			<-recorded
+		}
+	case <-time.After(maxEndWait):
+	}
+}
+
+// checkOutage checks whether the server of a broken attempt has ended while its answer was under way, if
+// another server has ended at about that time. Without that condition all entries would connect to all ranks
+// of a group whenever it breaks.
+func (g *Gateway) checkOutage(t *task, s registry.Server) {
+	select {
+	case <-time.After(endChecks[1]):
+	case <-g.stopped:
+		return
+	}
+	if !g.prompts.hasRecentEnd(clock.Now()) || !g.fleet.endsUnexpectedly(s) {
+		return
+	}
+	check := g.ends.start(s)
+	<-check.done
+	if check.ended.Load() {
+		g.recordEnd(t, s, true)
+	}
 }
 
 // endsUnexpectedly reports whether nothing but a failure of its process explains the end of a server: it
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -77,8 +77,8 @@
 		if d.Action == quarantine.Send {
 			return nil
 		}
-		left := maxWait - (now - began)
-		if d.Action == quarantine.Refuse || d.Left > left || left <= 0 {
+		// Another entry may prove a suspect part sound at any moment, long before it may be tried here.
+		if d.Action == quarantine.Refuse || now-began >= maxWait {
 			return refusedPrompt(d)
 		}
 		if !isWaiting {
@@ -135,6 +135,13 @@
 	p.hasNewEnd = true
 }
 
+// hasRecentEnd reports whether a server has ended lately.
+func (p *promptGuard) hasRecentEnd(now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.HasRecentEnd(now)
+}
+
 // hear records what another entry tells of ends, proofs and quarantines.
 func (p *promptGuard) hear(b *api.PeerBeat, now time.Duration) {
 	if len(b.GetEnds())+len(b.GetProofs())+len(b.GetQuarantines()) == 0 {
