Pass heartbeats on through relays among more than 64 entries

Cause: with n entries each sent and received 2.5 n heartbeats a second, so the fleet n squared: at 528 entries 1,300 datagrams and 0.3 MB a second each way at each, and as many again whenever one had urgent news.

Change: beyond 64 others, an entry sends its heartbeat to two relays of its failure domain and reads the digests of one. Relays are the largest VMs, one for 32 entries; digests hold changes, and who is late or gone. An entry that starts is told the relays. Incarnations rise, so that a record of a predecessor that is still on its way does not pass for its successor. The coordinator and its successor are chosen among the largest VMs as well. While an entry of an earlier version is live, heartbeats go from all to all.

Weighed: SWIM, sums by failure domain (docs/design/relays.md).

coord/keyed: a log of changes, so that another member can be told those only.

--- a/coord/keyed/keyed.go
+++ b/coord/keyed/keyed.go
@@ -98,6 +98,31 @@
 	return changes
 }
 
+// Merge processes all records that have changed since an offset, as another member holds them: those from
+// the table's next offset on, up to end. A record without a value deletes its key.
+func (t *Table) Merge(records []Record, end int64) []Change {
+	if !t.hasListing || end < t.nextOffset {
+		return nil
+	}
+	var changes []Change
+	for _, r := range records {
+		if r.Offset < t.nextOffset {
+			continue
+		}
+		if c := t.setIfNewer(r); c != nil {
+			changes = append(changes, *c)
+		}
+	}
+	t.nextOffset = end
+	return changes
+}
+
+// Newest returns the newest record of a key.
+func (t *Table) Newest(key string) (Record, bool) {
+	r, ok := t.newest[key]
+	return r, ok
+}
+
 // Records returns the newest record of each key, in no particular order.
 func (t *Table) Records() []Record {
 	records := make([]Record, 0, len(t.newest))
--- a/coord/peering/peering.go
+++ b/coord/peering/peering.go
@@ -1,12 +1,16 @@
 // Package peering tracks the other entries through the heartbeats that entries send each other. A
 // heartbeat tells which entry serves and what it has in flight at backend servers.
 //
-// Heartbeats are sent to every entry that may be live. They may be lost, repeated or reordered.
+// Among few entries, heartbeats are sent to every entry that may be live. Among many, each entry sends
+// them to two relays of its failure domain, and reads the digests of one of them. Heartbeats and digests
+// may be lost, repeated or reordered.
+//
 // Times are durations since process start, passed as arguments. A Table has no clock, socket or
 // goroutine, and is not safe for concurrent use.
 package peering
 
 import (
+	"cmp"
 	"encoding/binary"
 	"net/netip"
 	"slices"
@@ -47,6 +51,23 @@
 	// ForgetAfter is the time without a heartbeat after which nothing is sent to an entry any more.
 	// Default 60 s. If it comes back later, its own heartbeat adds it again.
 	ForgetAfter time.Duration
+
+	// FailureDomain is the failure domain of this entry.
+	FailureDomain string
+	// Capacity is the processor of this entry's VM, in thousandths of a core. The entries with the
+	// largest capacity relay.
+	Capacity uint32
+	// MaxMesh is the number of other entries up to which heartbeats go from all to all. Default 64:
+	// with more, they would take over 1% of one core of a small VM.
+	MaxMesh int
+	// EntriesPerRelay is the number of entries of a failure domain for each of its relays. Default 32.
+	EntriesPerRelay int
+	// RelayInterval is the time between two heartbeats to a relay, and between two of its digests.
+	// Default 200 ms: a heartbeat passes two relays, so that others learn of it within 0.6 s.
+	RelayInterval time.Duration
+	// RelaySilence is the time without a digest after which an entry reads those of another relay.
+	// Default 500 ms: the other one's first digest arrives well before SilentAfter.
+	RelaySilence time.Duration
 }
 
 func (c Config) withDefaults() Config {
@@ -62,6 +83,14 @@
 	set(&c.ProbeInterval, time.Second)
 	set(&c.StartupGrace, 2*time.Second)
 	set(&c.ForgetAfter, time.Minute)
+	set(&c.RelayInterval, 200*time.Millisecond)
+	set(&c.RelaySilence, 500*time.Millisecond)
+	if c.MaxMesh == 0 {
+		c.MaxMesh = 64
+	}
+	if c.EntriesPerRelay == 0 {
+		c.EntriesPerRelay = 32
+	}
 	if c.MaxMissedHeartbeats == 0 {
 		c.MaxMissedHeartbeats = 4
 	}
@@ -80,6 +109,13 @@
 	sorted []*peer
 	// successor is the IP of the entry that takes over first if this one coordinates; "" for none.
 	successor string
+	// version counts the changes of what the peers report.
+	version uint64
+	// newestOperators and newestServers are the highest offsets that a peer has reported.
+	newestOperators, newestServers int64
+	// hasUrgent means that a heartbeat has changed what must be acted on at once.
+	hasUrgent bool
+	relayState
 }
 
 // peer is another entry, identified by its IP.
@@ -91,11 +127,20 @@
 	addedAt   time.Duration
 	lastSent  time.Duration
 	contacted bool
+	// directAt is when a heartbeat last came from the entry itself; isDirect means that one has.
+	directAt time.Duration
+	isDirect bool
+	// version is the version of the Table at the last change of what the entry reports, stateVersion
+	// the one at the last change of anything but its load.
+	version, stateVersion uint64
+	// welcomedAt is when it was last sent a digest as one that has just started; zero for never.
+	welcomedAt time.Duration
+	reading    reading
 }
 
 // New returns the table of the entry with IP self.
 func New(self string, cfg Config) *Table {
-	return &Table{cfg: cfg.withDefaults(), self: self, peers: make(map[string]*peer)}
+	return &Table{cfg: cfg.withDefaults(), self: self, peers: make(map[string]*peer), relayState: relayState{newcomers: make(map[*peer]bool)}}
 }
 
 // AddPeer adds an IP at which there may be an entry.
@@ -132,21 +177,18 @@
 		})
 }
 
-// HandleHeartbeat processes a heartbeat. It returns false for one that is older than the last one
-// received. Otherwise a reordered heartbeat could make an entry that has begun to leave look
-// serving again, and callers would be sent to it.
+// HandleHeartbeat processes a heartbeat that came from the entry itself. It returns false for one that is
+// older than the last one received. Otherwise a reordered heartbeat could make an entry that has begun to
+// leave look serving again, and callers would be sent to it.
 func (t *Table) HandleHeartbeat(heartbeat *api.PeerBeat, now time.Duration) bool {
-	ip := heartbeat.GetIp()
-	if ip == "" || ip == t.self {
+	if !t.accept(heartbeat, now, now) {
 		return false
 	}
-	t.AddPeer(ip, now)
-	p := t.peers[ip]
-	if old := p.lastHeartbeat; old != nil && old.GetIncarnation() == heartbeat.GetIncarnation() && old.GetSequence() >= heartbeat.GetSequence() {
-		return false
+	p := t.peers[heartbeat.GetIp()]
+	p.directAt, p.isDirect = now, true
+	if !heartbeat.GetMembersKnown() {
+		t.newcomers[p] = true
 	}
-	p.lastHeartbeat = heartbeat
-	p.lastHeard = now
 	for _, other := range heartbeat.GetOthers() {
 		t.AddPeer(other, now)
 	}
@@ -156,18 +198,82 @@
 	return true
 }
 
+// accept records a heartbeat that came from the entry itself or from a relay, and was heard by either at
+// heardAt. It returns false for one that is not newer than the last one.
+func (t *Table) accept(heartbeat *api.PeerBeat, heardAt, now time.Duration) bool {
+	ip := heartbeat.GetIp()
+	if ip == "" || ip == t.self {
+		return false
+	}
+	t.AddPeer(ip, now)
+	p := t.peers[ip]
+	old := p.lastHeartbeat
+	if old != nil && old.GetIncarnation() == heartbeat.GetIncarnation() && old.GetSequence() >= heartbeat.GetSequence() {
+		return false
+	}
+	if t.isPredecessor(p, heartbeat, now) {
+		return false
+	}
+	p.lastHeartbeat = heartbeat
+	p.lastHeard = max(p.lastHeard, heardAt)
+	t.recordChange(p, old)
+	return true
+}
+
+// isPredecessor reports whether a heartbeat is that of an earlier process at the IP of a peer. One that relays
+// still pass on for a moment would make its successor look like it. Incarnations begin with the time of day;
+// a process that starts with its clock set back is heard once its predecessor is silent.
+func (t *Table) isPredecessor(p *peer, heartbeat *api.PeerBeat, now time.Duration) bool {
+	return heartbeat.GetIncarnation() < p.lastHeartbeat.GetIncarnation() && t.isLive(p, now)
+}
+
+// recordChange notes what has changed since the last heartbeat of a peer.
+func (t *Table) recordChange(p *peer, old *api.PeerBeat) {
+	b := p.lastHeartbeat
+	switch {
+	case old == nil || hasStateChanged(old, b):
+		t.version++
+		p.version, p.stateVersion = t.version, t.version
+	case hasLoadChanged(old, b):
+		t.version++
+		p.version = t.version
+	}
+	isUrgent := IsUrgent(old, b)
+	t.hasUrgent = t.hasUrgent || isUrgent
+	isNewer := b.GetOperatorsChanged() > t.newestOperators || b.GetServersChanged() > t.newestServers
+	t.newestOperators = max(t.newestOperators, b.GetOperatorsChanged())
+	t.newestServers = max(t.newestServers, b.GetServersChanged())
+	t.mustRelay = t.mustRelay || isNewer || isUrgent
+}
+
+// TakeUrgent reports whether a heartbeat since the last call has changed what must be acted on at once.
+func (t *Table) TakeUrgent() bool {
+	hasUrgent := t.hasUrgent
+	t.hasUrgent = false
+	return hasUrgent
+}
+
 // PackIPs returns IPv4 addresses as numbers, as heartbeats tell them. Other texts are left out.
 func PackIPs(ips []string) []uint32 {
 	packed := make([]uint32, 0, len(ips))
 	for _, ip := range ips {
-		if addr, err := netip.ParseAddr(ip); err == nil && addr.Is4() {
-			b := addr.As4()
-			packed = append(packed, binary.BigEndian.Uint32(b[:]))
+		if n := packIP(ip); n != 0 {
+			packed = append(packed, n)
 		}
 	}
 	return packed
 }
 
+// packIP returns an IPv4 address as a number, or zero for another text.
+func packIP(ip string) uint32 {
+	addr, err := netip.ParseAddr(ip)
+	if err != nil || !addr.Is4() {
+		return 0
+	}
+	b := addr.As4()
+	return binary.BigEndian.Uint32(b[:])
+}
+
 func unpackIP(packed uint32) string {
 	var b [4]byte
 	binary.BigEndian.PutUint32(b[:], packed)
@@ -202,8 +308,10 @@
 // If the coordinator stalls while it holds a group, callers are waiting in that group. Without this
 // shorter limit they would wait SilentAfter for a takeover, and hang up.
 func (t *Table) OnTime(now time.Duration) []*api.PeerBeat {
-	maxAge := time.Duration(t.cfg.MaxMissedHeartbeats) * t.heartbeatInterval(t.liveCount(now))
-	maxAge = min(maxAge, t.cfg.SilentAfter)
+	maxAge := t.cfg.SilentAfter
+	if !t.isRelayed {
+		maxAge = min(maxAge, time.Duration(t.cfg.MaxMissedHeartbeats)*t.heartbeatInterval(t.liveCount(now)))
+	}
 	return t.heartbeatsWithin(func(p *peer) time.Duration { return t.maxOnTimeAge(p, maxAge) }, now)
 }
 
@@ -252,7 +360,8 @@
 //
 // The current coordinator keeps the role while it serves: it is the entry with the highest fence,
 // since one with a lower fence was replaced by another. If the lowest IP always won, the role would
-// change with every entry that is restarted, and nobody would coordinate in between.
+// change with every entry that is restarted, and nobody would coordinate in between. A new one is an
+// entry with the largest processor: the work grows with the ranks and experts of all groups.
 func SelectCoordinator(self *api.PeerBeat, live []*api.PeerBeat) string {
 	var best *api.PeerBeat
 	for _, b := range append([]*api.PeerBeat{self}, live...) {
@@ -262,27 +371,60 @@
 		switch {
 		case best == nil, b.GetFence() > best.GetFence():
 			best = b
-		case b.GetFence() == best.GetFence() && b.GetIp() < best.GetIp():
+		case b.GetFence() == best.GetFence() && isStronger(b, best):
 			best = b
 		}
 	}
 	return best.GetIp()
 }
 
-// IsDomainReader reports whether this entry reads the platform's store on behalf of its failure
-// domain: it is the serving entry with the lowest IP there. An entry that does not serve reads for
-// itself.
+// isStronger reports whether one entry comes before another where the larger processor is preferred.
+func isStronger(a, b *api.PeerBeat) bool {
+	return cmp.Or(cmp.Compare(b.GetCapacity(), a.GetCapacity()), cmp.Compare(a.GetIp(), b.GetIp())) < 0
+}
+
+// SelectStoreReaders returns the IPs of the entries that read the platform's store for all: the serving
+// entry with the lowest IP, and the first one in another failure domain. Entries that do not serve yet
+// come after those that do.
 //
-// If hundreds of entries each read the store once or twice a second, the calls would grow with the
-// number of entries up to the store's rate limit. With one reader per failure domain their number
-// stays constant, and a domain that is cut off still reads.
-func IsDomainReader(self *api.PeerBeat, live []*api.PeerBeat) bool {
-	for _, b := range live {
-		if b.GetServing() && !b.GetLeaving() && b.GetFailureDomain() == self.GetFailureDomain() && b.GetIp() < self.GetIp() {
-			return !self.GetServing()
+// If each entry read the store, or one in each failure domain, the calls would grow with the size of the
+// fleet. Two readers cover the loss of an entry and of a failure domain, and each side of a partition has
+// its own.
+func SelectStoreReaders(self *api.PeerBeat, live []*api.PeerBeat) []string {
+	var first, second *api.PeerBeat
+	entries := append([]*api.PeerBeat{self}, live...)
+	for _, b := range entries {
+		if !b.GetLeaving() && (first == nil || readsBefore(b, first)) {
+			first = b
 		}
 	}
-	return true
+	if first == nil {
+		return nil
+	}
+	for _, b := range entries {
+		if !b.GetLeaving() && b != first && (second == nil || isBetterSecondReader(first, b, second)) {
+			second = b
+		}
+	}
+	if second == nil {
+		return []string{first.GetIp()}
+	}
+	return []string{first.GetIp(), second.GetIp()}
+}
+
+func readsBefore(a, b *api.PeerBeat) bool {
+	if a.GetServing() != b.GetServing() {
+		return a.GetServing()
+	}
+	return a.GetIp() < b.GetIp()
+}
+
+func isBetterSecondReader(first, a, b *api.PeerBeat) bool {
+	isElsewhere := a.GetFailureDomain() != first.GetFailureDomain()
+	if a.GetServing() == b.GetServing() && isElsewhere != (b.GetFailureDomain() != first.GetFailureDomain()) {
+		return isElsewhere
+	}
+	return readsBefore(a, b)
 }
 
 // heartbeatInterval returns the time between two heartbeats to a live entry. Heartbeats from all to
@@ -295,18 +437,11 @@
 	return max(t.cfg.MinHeartbeatInterval, min(spread, t.cfg.SilentAfter/3))
 }
 
-// TakeDue returns the IPs to send a heartbeat to now, records it as sent, and forgets entries that
-// have been silent for long. With allLive, used for urgent changes, a heartbeat is due to every
-// live entry.
+// TakeDue returns the IPs to send a heartbeat to now where heartbeats go from all to all, and records it
+// as sent. With allLive, used for urgent changes, a heartbeat is due to every live entry.
 func (t *Table) TakeDue(now time.Duration, allLive bool) []string {
+	t.forget(now)
 	interval := t.heartbeatInterval(t.liveCount(now))
-	t.sorted = slices.DeleteFunc(t.sorted, func(p *peer) bool {
-		isForgotten := now-max(p.lastHeard, p.addedAt) > t.cfg.ForgetAfter
-		if isForgotten {
-			delete(t.peers, p.ip)
-		}
-		return isForgotten
-	})
 	var due []string
 	for _, p := range t.sorted {
 		wait := t.cfg.ProbeInterval
@@ -319,12 +454,30 @@
 				wait = min(interval, t.cfg.SuccessorInterval)
 			}
 		}
-		if p.contacted && now-p.lastSent < wait {
-			continue
+		if p.takeTurn(wait, now) {
+			due = append(due, p.ip)
 		}
-		p.contacted = true
-		p.lastSent = now
-		due = append(due, p.ip)
 	}
 	return due
 }
+
+// takeTurn reports whether nothing has been sent to a peer for the given time, and records it as sent then.
+func (p *peer) takeTurn(wait, now time.Duration) bool {
+	if p.contacted && now-p.lastSent < wait {
+		return false
+	}
+	p.contacted = true
+	p.lastSent = now
+	return true
+}
+
+// forget removes the entries that have been silent for long.
+func (t *Table) forget(now time.Duration) {
+	t.sorted = slices.DeleteFunc(t.sorted, func(p *peer) bool {
+		isForgotten := now-max(p.lastHeard, p.addedAt) > t.cfg.ForgetAfter
+		if isForgotten {
+			delete(t.peers, p.ip)
+		}
+		return isForgotten
+	})
+}
--- a/coord/peering/peering_test.go
+++ b/coord/peering/peering_test.go
@@ -114,28 +114,33 @@
 	}
 }
 
-func TestIsDomainReader(t *testing.T) {
+// Guards against an entry or a failure domain whose loss leaves nobody who reads the store, and against
+// more readers than two.
+func TestSelectStoreReaders(t *testing.T) {
 	entry := func(ip, domain string) *api.PeerBeat {
 		return &api.PeerBeat{Ip: ip, FailureDomain: domain, Serving: true}
 	}
 	leaving := entry("a", "d1")
 	leaving.Leaving = true
-	starting := entry("z", "d1")
+	starting := entry("a", "d1")
 	starting.Serving = false
 	for _, c := range []struct {
 		name string
 		self *api.PeerBeat
 		live []*api.PeerBeat
-		want bool
+		want []string
 	}{
-		{"alone", entry("b", "d1"), nil, true},
-		{"the first of its domain", entry("b", "d1"), []*api.PeerBeat{entry("a", "d2"), entry("c", "d1")}, true},
-		{"not the first", entry("b", "d1"), []*api.PeerBeat{entry("a", "d1")}, false},
-		{"the first one leaves", entry("b", "d1"), []*api.PeerBeat{leaving}, true},
-		{"it does not serve yet", starting, []*api.PeerBeat{entry("a", "d1")}, true},
+		{"alone", entry("b", "d1"), nil, []string{"b"}},
+		{"one of another domain", entry("b", "d1"), []*api.PeerBeat{entry("a", "d1"), entry("z", "d2"), entry("y", "d3")}, []string{"a", "y"}},
+		{"a single domain", entry("b", "d1"), []*api.PeerBeat{entry("a", "d1"), entry("c", "d1")}, []string{"a", "b"}},
+		{"the first one leaves", entry("b", "d1"), []*api.PeerBeat{leaving, entry("z", "d2")}, []string{"b", "z"}},
+		{"this one leaves", leaving, []*api.PeerBeat{entry("b", "d1")}, []string{"b"}},
+		{"one that does not serve yet comes last", starting, []*api.PeerBeat{entry("b", "d2"), entry("c", "d2")}, []string{"b", "c"}},
+		{"none serves yet", starting, nil, []string{"a"}},
+		{"a second one that does not serve is better than none", starting, []*api.PeerBeat{entry("b", "d2")}, []string{"b", "a"}},
 	} {
-		if got := IsDomainReader(c.self, c.live); got != c.want {
-			t.Errorf("%s: domain reader %v, want %v", c.name, got, c.want)
+		if got := SelectStoreReaders(c.self, c.live); !slices.Equal(got, c.want) {
+			t.Errorf("%s: readers %v, want %v", c.name, got, c.want)
 		}
 	}
 }
--- a/coord/peering/successor.go
+++ b/coord/peering/successor.go
@@ -33,7 +33,7 @@
 	if isElsewhere != (other.GetFailureDomain() != self.GetFailureDomain()) {
 		return isElsewhere
 	}
-	return b.GetIp() < other.GetIp()
+	return isStronger(b, other)
 }
 
 // SetSuccessor sets the IP of the entry that is sent heartbeats every SuccessorInterval; "" for none.
