Read the store by two entries for all, and learn from entries at the start

Cause: each entry that started read operators' records, registrations, quarantines and the list of entries, and wrote its name: 9 to 12 calls each and all registrations in bytes, so that a return of 528 entries took n calls and n squared bytes, while nothing was served. One entry of each failure domain read for it; in an outage all began to read at the same moment, doubling from 100 ms. A change of one registration sent all of them to each entry: entries times servers.

Change: two entries of two failure domains read for all, and keep the list of entries, in one call. An entry that starts takes everything from another one that knows it; only seeds, and entries that nobody tells, ask the store, spread over a second. Without fresh answers the others begin to read spread over the time that the rate of all allows. Between entries only changed records pass, from the own failure domain if it has them. How often the store is read follows from the bounds in force. Counters of heartbeats, records and the store's bytes.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -52,6 +52,10 @@
 	g      *Gateway
 	logger log.Logger
 
+	// send sends a heartbeat, fetch asks another entry for records; replaced in tests without a network.
+	send  func(b *api.PeerBeat, ips []string)
+	fetch func(ip string, operators, servers int64)
+
 	operators, servers *keyed.Table
 	registry           *registry.Registry
 	peers              *peering.Table
@@ -76,6 +80,8 @@
 	// stateRequestedAt is when the last one was sent.
 	stateRequestedAt time.Duration
 	stateRequested   bool
+	// stateRequestFailed means that the last one failed.
+	stateRequestFailed bool
 	// sentFence is the fence in the last heartbeat, successor the entry that takes over first if this
 	// one coordinates; "" for none.
 	sentFence int64
@@ -83,10 +89,11 @@
 	// sequence is the sequence number of the last heartbeat.
 	sequence    uint64
 	entryCounts entryCounts
-	// membersKnown means that the list of entries has been read from the store. startedAt is when
-	// this process started.
-	membersKnown bool
-	startedAt    time.Duration
+	startup     startup
+	// operatorsLog and serversLog hold when the records of a topic last changed something.
+	operatorsLog, serversLog *keyed.ChangeLog
+	// isFirstReader means that this entry is the first of those that read the store for all.
+	isFirstReader bool
 	// isStarted means that Gateway.started is closed.
 	isStarted bool
 	// liveVMs are the VMs of the live entries.
@@ -95,12 +102,16 @@
 
 func newControl(g *Gateway, logger log.Logger, now time.Duration) *control {
 	c := &control{
-		g: g, logger: logger,
+		g: g, logger: logger, fetch: func(ip string, operators, servers int64) { go g.fetchState(ip, operators, servers) },
 		operators: keyed.New(), servers: keyed.New(),
-		registry: registry.New(), peers: peering.New(g.settings.IP, peering.Config{}),
+		operatorsLog: keyed.NewChangeLog(), serversLog: keyed.NewChangeLog(),
+		registry: registry.New(), peers: peering.New(g.settings.IP, peering.Config{
+			FailureDomain: g.settings.FailureDomain, Capacity: capacityOf(g.settings),
+		}),
 		peerLoads:  peering.NewLoadSums(),
-		domainsOut: make(map[string]bool), startedAt: now,
+		domainsOut: make(map[string]bool), startup: newStartup(g.settings, now),
 	}
+	c.send = func(b *api.PeerBeat, ips []string) { g.sendHeartbeat(b, ips, c.isFar) }
 	for _, seed := range g.settings.Seeds {
 		c.peers.AddPeer(seed, now)
 	}
@@ -122,7 +133,7 @@
 				continue
 			}
 		case s := <-c.g.fetchedStates:
-			c.applyPeerState(s)
+			c.applyPeerState(s, clock.Now())
 		case req := <-c.g.stateRequests:
 			req.reply <- c.stateBeyond(req)
 		case list := <-c.g.memberLists:
@@ -163,12 +174,25 @@
 	var changes []keyed.Change
 	if listing != nil {
 		changes = table.Replace(listing.Records, listing.End)
+		c.changeLog(topic).Begin(listing.End)
 	}
 	for _, r := range records {
 		if change := table.Apply(r); change != nil {
 			changes = append(changes, *change)
 		}
 	}
+	c.applyChanges(topic, changes, now)
+}
+
+// changeLog returns the log of the changes of a topic.
+func (c *control) changeLog(topic string) *keyed.ChangeLog {
+	if topic == platform.TopicServers {
+		return c.serversLog
+	}
+	return c.operatorsLog
+}
+
+func (c *control) applyChanges(topic string, changes []keyed.Change, now time.Duration) {
 	for _, change := range changes {
 		if topic == platform.TopicServers {
 			if !c.applyServerChange(change, now) {
@@ -179,6 +203,7 @@
 			c.applyOperatorChange(change)
 			c.operatorsChangedAt = max(c.operatorsChangedAt, change.Offset+1)
 		}
+		c.changeLog(topic).Record(change)
 		c.changed = true
 		// Entries that do not read the store themselves wait for this.
 		c.heartbeatDue = true
@@ -262,15 +287,14 @@
 	// The other entries go by what the coordinator reports.
 	c.heartbeatDue = c.heartbeatDue || limitsChanged && c.g.experts.Fence() != 0
 	c.publishView(live, now)
-	self := &api.PeerBeat{Ip: c.g.settings.IP, FailureDomain: c.g.settings.FailureDomain, Serving: c.g.view.Load().ready}
-	c.decideStoreReads(self, live, now)
+	c.decideStoreReads(live, now)
 	c.requestPeerState(live, now)
 	c.sendHeartbeats(live, now)
 }
 
-// maxMembersWait is how long a new process waits at most for the store to return the list of
-// entries. Three heartbeats of the others are enough to hear of each entry: a heartbeat names
-// eight.
+// maxMembersWait is how long a new process waits at most for the list of entries, from the store or from
+// another entry, once it may ask the store. Three heartbeats of the others are enough to hear of each
+// entry: a heartbeat names eight.
 const maxMembersWait = 500 * time.Millisecond
 
 // servingTable returns the configuration to serve by, nil for none yet.
@@ -279,7 +303,7 @@
 // send servers with little capacity the retries and connections that all entries together may. So
 // an entry serves nothing until it knows which entries there may be.
 func (c *control) servingTable(now time.Duration) *routing.Table {
-	if !c.membersKnown && now-c.startedAt < maxMembersWait {
+	if !c.peers.MembersKnown() && now-c.startup.startedAt < c.startup.delay+maxMembersWait {
 		return nil
 	}
 	return c.table
@@ -324,7 +348,9 @@
 			v.addresses = append(v.addresses, b.GetCallersAddress())
 		}
 	}
-	self := &api.PeerBeat{Ip: c.g.settings.IP, Serving: ready, Leaving: c.g.leaving.Load(), Fence: c.g.experts.Fence()}
+	self := &api.PeerBeat{
+		Ip: c.g.settings.IP, Capacity: capacityOf(c.g.settings), Serving: ready, Leaving: c.g.leaving.Load(), Fence: c.g.experts.Fence(),
+	}
 	v.isCoordinator = c.peers.Coordinates(self, c.g.settings.Bounds.RequireFencing, now)
 	for _, b := range live {
 		v.takenOver = v.takenOver || b.GetFence() > self.GetFence()
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,12 +22,6 @@
 	// within which a configuration must be in force, so that a silent connection is noticed in
 	// time.
 	storeTimeout = 600 * time.Millisecond
-	// operatorsLongPoll is how long the store is asked to wait for a record of operators.
-	operatorsLongPoll = 1200 * time.Millisecond
-	// serversInterval is the time between two reads of the registrations. They change all the time,
-	// so that a long poll would end with each heartbeat of any server. A leaving server must be
-	// known within the drain time, which is 2 s at the shortest.
-	serversInterval = 700 * time.Millisecond
 	// minRetryInterval and maxRetryInterval limit the time between calls while the store does not
 	// answer. It is short, since registrations and configuration must be read as soon as the store
 	// is back. With many entries, those that others read for wait longer.
@@ -37,7 +32,7 @@
 	idleInterval = 10 * time.Second
 	// repairReadsPerSecond limits the reads per second and topic of all entries together that only
 	// repair. Otherwise they would grow with the number of entries, up to most of all calls.
-	repairReadsPerSecond = 2
+	repairReadsPerSecond = 0.2
 	// idleCheckInterval is how often such an entry checks whether it has to read the store itself.
 	idleCheckInterval = 50 * time.Millisecond
 )
@@ -69,16 +64,21 @@
 	// interval that repairInterval returns.
 	isNeeded       func() bool
 	repairInterval func() time.Duration
-	// maxBackoff returns the longest time between two calls while the store does not answer.
-	maxBackoff func() time.Duration
-	logger     log.Logger
-	updates    chan<- topicUpdate
+	// minBackoff and maxBackoff return the limits of the time between two calls while the store does not
+	// answer. An entry that begins to read because nobody else has a fresh answer first waits for a part
+	// of the former.
+	minBackoff, maxBackoff func() time.Duration
+	logger                 log.Logger
+	updates                chan<- topicUpdate
 }
 
 // run follows the topic until the context ends.
 func (f *follower) run(ctx context.Context) error {
 	next := int64(-1)
 	backoff := minRetryInterval
+	if err := f.waitForNext(ctx, 0); err != nil {
+		return err
+	}
 	failingSince := time.Duration(0)
 	for {
 		u, err := f.read(ctx, &next)
@@ -93,7 +93,7 @@
 				_ = level.Warn(f.logger).Log("msg", "The store does not answer.", "topic", f.topic,
 					"result", result.Label(api.ResultCode_LOG_UNAVAILABLE), "err", err)
 			}
-			wait = backoff
+			wait = max(backoff, f.minBackoff())
 			backoff = min(2*backoff, f.maxBackoff())
 		} else {
 			if failingSince != 0 {
@@ -113,19 +113,35 @@
 	}
 }
 
-// waitForNext waits until the next read is due.
+// waitForNext waits until the next read is due: after the given time if this entry is to read, or else once
+// it is or the read repairs.
 func (f *follower) waitForNext(ctx context.Context, wait time.Duration) error {
 	began := clock.Now()
-	for {
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
-			return ctx.Err()
+	if err := sleep(ctx, wait); err != nil || f.isNeeded() {
+		return err
+	}
+	for clock.Now()-began < f.repairInterval() {
+		if err := sleep(ctx, idleCheckInterval); err != nil {
+			return err
+		}
+		if !f.isNeeded() {
+			continue
 		}
-		if f.isNeeded() || clock.Now()-began >= f.repairInterval() {
-			return nil
+		// All others may begin at the same time.
+		if err := sleep(ctx, time.Duration(rand.Float64()*float64(f.minBackoff()))); err != nil || f.isNeeded() {
+			return err
 		}
-		wait = idleCheckInterval
+	}
+	return nil
+}
+
+// sleep waits for a time, or returns an error when ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,11 +64,13 @@
 	peerClient  *http.Client
 	// membersInterval is the constant of that name, except in tests.
 	membersInterval time.Duration
+	timing          storeTiming
 
 	view    atomic.Pointer[view]
 	leaving atomic.Bool
-	// readsStore means that this entry reads the store, for itself or also for others.
-	readsStore atomic.Bool
+	// readsStore means that this entry reads the store, for itself or also for others. isStoreReader means
+	// that it is one of those that read it for all.
+	readsStore, isStoreReader atomic.Bool
 	// storeRetryInterval is the longest time between two calls while the store does not answer, in
 	// nanoseconds.
 	storeRetryInterval atomic.Int64
@@ -82,6 +84,11 @@
 	// quarantineRecords are to be stored.
 	quarantineRecords chan quarantineRecord
 	leave             chan struct{}
+	// askStore is closed when a starting process is to ask the store for everything, toldByPeers when other
+	// entries have told it everything.
+	askStore, toldByPeers chan struct{}
+	// stateSlots limits the entries that this one sends its records to at a time.
+	stateSlots chan struct{}
 	// started is closed when this entry first knows the configuration and a backend server.
 	started chan struct{}
 	// stopped is closed when the process ends.
@@ -89,16 +96,17 @@
 }
 
 func newGateway(s *platform.Settings, logger log.Logger) *Gateway {
+	timing := newStoreTiming(s.Bounds)
 	transport := &http.Transport{
 		DialContext:           (&net.Dialer{Timeout: storeTimeout, Control: upstream.SetTCPUserTimeout, KeepAliveConfig: upstream.KeepAliveConfig()}).DialContext,
 		MaxIdleConnsPerHost:   4,
 		IdleConnTimeout:       10 * time.Second,
 		DisableCompression:    true,
-		ResponseHeaderTimeout: operatorsLongPoll + storeTimeout,
+		ResponseHeaderTimeout: timing.operatorsLongPoll + storeTimeout,
 	}
 	counters := newCounters()
 	g := &Gateway{
-		settings: s, logger: logger, incarnation: rand.Uint64(),
+		settings: s, logger: logger, incarnation: newIncarnation(time.Now()),
 		store: platform.NewStore(s.Store.Address, countingTransport{transport, counters}),
 		fleet: newFleet(s.IP, limits{
 			coldMaxRatio: s.Bounds.ColdMaxRatio, coldSlack: s.Bounds.ColdSlack,
@@ -114,6 +122,10 @@
 			DisableKeepAlives: true,
 		}},
 		membersInterval:   membersInterval,
+		timing:            timing,
+		askStore:          make(chan struct{}),
+		toldByPeers:       make(chan struct{}),
+		stateSlots:        make(chan struct{}, maxStateResponses),
 		updates:           make(chan topicUpdate, maxPendingUpdates),
 		heartbeats:        make(chan *api.PeerBeat, maxPendingHeartbeats),
 		fetchedStates:     make(chan fetchedState),
@@ -127,11 +139,17 @@
 	g.fleet.ejections, g.fleet.limitsStated, g.fleet.restsAsked = counters.ejected, counters.limited, counters.rested
 	g.fleet.divisions = counters.divisions
 	g.fleet.logger = logging.Part(logger, "servers")
-	g.readsStore.Store(true)
 	g.experts = experts.New(s.VM, s.PeerPort, g, g.store, logging.Part(logger, "experts"))
 	return g
 }
 
+// newIncarnation returns the incarnation of a process that starts at a time of day. It is larger than those
+// of earlier processes on the VM, unless its clock was set back.
+func newIncarnation(now time.Time) uint64 {
+	const randomBits = 20
+	return uint64(now.UnixMilli())<<randomBits | rand.Uint64N(1<<randomBits)
+}
+
 // Run serves until ctx ends, and then shuts down gracefully.
 func Run(ctx context.Context, s *platform.Settings, logger log.Logger) error {
 	return newGateway(s, logger).run(ctx)
@@ -158,8 +176,8 @@
 		group.Add(func() error { return part(partsCtx) }, func(error) { cancel() })
 	}
 	addPart(newControl(g, logging.Part(g.logger, "control"), clock.Now()).run)
-	addPart(g.newFollower(platform.TopicOperators, operatorsLongPoll, 0).run)
-	addPart(g.newFollower(platform.TopicServers, 0, serversInterval).run)
+	addPart(g.newFollower(platform.TopicOperators, g.timing.operatorsLongPoll, 0).run)
+	addPart(g.newFollower(platform.TopicServers, 0, g.timing.serversInterval).run)
 	addPart(g.receiveHeartbeats)
 	addPart(g.maintainMembership)
 	addPart(g.maintainQuarantines)
@@ -198,7 +216,7 @@
 
 func (g *Gateway) newFollower(topic string, wait, interval time.Duration) *follower {
 	return &follower{
-		topic: topic, store: g.store, wait: wait, interval: interval, isNeeded: g.readsStore.Load, maxBackoff: g.maxStoreBackoff, logger: logging.Part(g.logger, "store"), updates: g.updates,
+		topic: topic, store: g.store, wait: wait, interval: interval, isNeeded: g.readsStore.Load, minBackoff: g.minStoreBackoff, maxBackoff: g.maxStoreBackoff, logger: logging.Part(g.logger, "store"), updates: g.updates,
 		repairInterval: func() time.Duration { return g.repairInterval(idleInterval) },
 	}
 }
@@ -214,6 +232,12 @@
 	return max(least, time.Duration(others/repairReadsPerSecond*float64(time.Second)))
 }
 
+// minStoreBackoff returns the least time between two calls while the store does not answer; zero for an
+// entry that reads for all.
+func (g *Gateway) minStoreBackoff() time.Duration {
+	return time.Duration(g.storeRetryInterval.Load())
+}
+
 // maxStoreBackoff returns the longest time between two calls while the store does not answer.
 func (g *Gateway) maxStoreBackoff() time.Duration {
 	return max(maxRetryInterval, time.Duration(g.storeRetryInterval.Load()))
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/coord/keyed"
 	"github.com/apricothub/apricothub/coord/peering"
 	"github.com/apricothub/apricothub/internal/result"
 )
@@ -15,46 +16,54 @@
 const (
 	// topicMembers holds the list of entries, keyed by VM.
 	topicMembers = "keyed.members"
-	// membersInterval is the least time between two reads of the list. It is read at the start, and
-	// again for what heartbeats cannot repair: two halves that never heard of each other.
+	// membersInterval is the time between two reads of the list by an entry that reads the store for all. It
+	// repairs what heartbeats cannot: two halves that never heard of each other, and the list itself.
 	membersInterval = 20 * time.Second
+	// readerCheckInterval is how often an entry checks whether it reads the store for all.
+	readerCheckInterval = time.Second
+	// maxListedAtOnce limits the entries that are added to the list in one call.
+	maxListedAtOnce = 500
 )
 
 // memberList is the list of entries as it was read.
 type memberList struct {
 	members []peering.Member
-	// removals receives the members to remove from the list.
-	removals chan []peering.Member
+	// updates receives the entries to add to the list, and those to remove from it.
+	updates chan memberUpdates
 }
 
-// maintainMembership lists this entry in the store, and learns of the other entries. Each entry
-// writes before it reads: of two that start at the same time, at least one learns of the other, and
-// its first heartbeat makes it known to the other. An entry that others have removed from the list,
-// as after a long silence, adds itself again.
+// memberUpdates are changes of the list of entries.
+type memberUpdates struct{ additions, removals []peering.Member }
+
+// maintainMembership keeps the list of entries in the store, and learns of other entries from it.
+//
+// An entry that starts and is told of the others by one of them calls the store for neither. One that is
+// not writes itself to the list and then reads it: of two that start at the same time, at least one learns of
+// the other, and its first heartbeat makes it known to the other. Later, the entries that read the store for
+// all add those that are missing and remove those that are long gone.
 //
-// In an outage of the store, an entry that is listed has no need to hurry, and one that is not knows
-// the others by their heartbeats, so that the calls of all stay within storeRetriesPerSecond.
+// In an outage of the store, the calls of all stay within storeRetriesPerSecond.
 func (g *Gateway) maintainMembership(ctx context.Context) error {
+	isStarting := true
+	select {
+	case <-g.askStore:
+	case <-g.toldByPeers:
+		isStarting = false
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	isListed := false
-	wait := time.Duration(0)
 	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(wait):
-		}
-		written := isListed || g.writeSelf(ctx)
-		members, read := g.readMembers(ctx)
-		wait = g.repairInterval(g.membersInterval)
-		if !written || !read {
-			if !isListed {
-				wait = g.maxStoreBackoff()
-			}
-			continue
+		wait := readerCheckInterval
+		switch {
+		case !isStarting && !g.isStoreReader.Load():
+		case (isListed || !isStarting || g.writeSelf(ctx)) && g.readMembers(ctx):
+			isListed, isStarting, wait = true, false, g.membersInterval
+		default:
+			wait = g.maxStoreBackoff()
 		}
-		isListed = false
-		for _, m := range members {
-			isListed = isListed || m == peering.Member{VM: g.settings.VM, IP: g.settings.IP}
+		if err := sleep(ctx, wait); err != nil {
+			return err
 		}
 	}
 }
@@ -76,18 +85,18 @@
 	return err
 }
 
-// readMembers reads the list, passes it to the control goroutine, and removes the members that the
-// control goroutine returns.
-func (g *Gateway) readMembers(ctx context.Context) ([]peering.Member, bool) {
+// readMembers reads the list, passes it to the control goroutine, and makes the changes that the control
+// goroutine returns.
+func (g *Gateway) readMembers(ctx context.Context) bool {
 	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	listing, err := g.store.ListNewest(readCtx, topicMembers)
 	if err != nil {
 		_ = level.Warn(g.logger).Log("msg", "The list of entries could not be read from the store; the read will be retried.", "err", err,
 			"result", result.Label(api.ResultCode_LOG_UNAVAILABLE))
-		return nil, false
+		return false
 	}
-	list := memberList{removals: make(chan []peering.Member, 1)}
+	list := memberList{updates: make(chan memberUpdates, 1)}
 	for _, r := range listing.Records {
 		if net.ParseIP(string(r.Value)) != nil {
 			list.members = append(list.members, peering.Member{VM: r.Key, IP: string(r.Value)})
@@ -96,15 +105,35 @@
 	select {
 	case g.memberLists <- list:
 	case <-ctx.Done():
-		return nil, false
+		return false
 	}
 	select {
-	case removals := <-list.removals:
-		g.removeMembers(ctx, removals)
-		return list.members, true
+	case updates := <-list.updates:
+		g.addMembers(ctx, updates.additions)
+		g.removeMembers(ctx, updates.removals)
+		return true
 	case <-ctx.Done():
-		return nil, false
+		return false
+	}
+}
+
+// addMembers adds entries to the list, in one call. What fails is retried at the next read.
+func (g *Gateway) addMembers(ctx context.Context, members []peering.Member) {
+	if len(members) == 0 {
+		return
+	}
+	records := make([]keyed.Record, 0, len(members))
+	for _, m := range members[:min(len(members), maxListedAtOnce)] {
+		records = append(records, keyed.Record{Key: m.VM, Value: []byte(m.IP)})
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if _, err := g.store.PutAll(ctx, topicMembers, records); err != nil {
+		_ = level.Warn(g.logger).Log("msg", "Live entries could not be added to the list of entries.", "entries", len(records), "err", err,
+			"result", result.Label(api.ResultCode_LOG_UNAVAILABLE))
+		return
 	}
+	_ = level.Info(g.logger).Log("msg", "Live entries were added to the list of entries.", "entries", len(records))
 }
 
 // removeMembers removes members from the list. A removal that fails is retried at the next read.
@@ -119,20 +148,35 @@
 	}
 }
 
-// applyMembers adds the listed entries as peers, and returns those to remove from the list. Only
-// the coordinator removes any, so that each is removed once.
+// applyMembers adds the listed entries as peers, and returns the changes to make to the list: the first of
+// the entries that read the store for all adds the live ones that are missing, and removes those that are
+// long gone.
 func (c *control) applyMembers(list memberList, now time.Duration) {
-	live := map[string]bool{c.g.settings.IP: true}
+	self := peering.Member{VM: c.g.settings.VM, IP: c.g.settings.IP}
+	live := map[string]bool{self.IP: true}
+	entries := []peering.Member{self}
 	for _, b := range c.peers.Live(now) {
 		live[b.GetIp()] = true
+		if !b.GetLeaving() {
+			entries = append(entries, peering.Member{VM: b.GetVm(), IP: b.GetIp()})
+		}
 	}
 	for _, m := range list.members {
 		c.peers.AddPeer(m.IP, now)
 	}
-	removals := c.memberPruner.SelectRemovals(list.members, live, now)
-	if v := c.g.view.Load(); v == nil || !v.isCoordinator {
-		removals = nil
+	c.peers.SetMembersKnown()
+	updates := memberUpdates{removals: c.memberPruner.SelectRemovals(list.members, live, now)}
+	isListed := make(map[peering.Member]bool, len(list.members))
+	for _, m := range list.members {
+		isListed[m] = true
+	}
+	for _, e := range entries {
+		if e.VM != "" && !isListed[e] {
+			updates.additions = append(updates.additions, e)
+		}
+	}
+	if !c.isFirstReader {
+		updates = memberUpdates{}
 	}
-	list.removals <- removals
-	c.membersKnown = true
+	list.updates <- updates
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -34,6 +35,11 @@
 	took, waited, firstEvent, eventGaps metrics.Histogram
 	// storeReads, storeWrites and storeFailures count calls of the platform's store.
 	storeReads, storeWrites, storeFailures metrics.Counter
+	// storeBytes counts the bytes that the store has answered.
+	storeBytes metrics.Counter
+	// heartbeats counts the heartbeats sent, heartbeatBytes their bytes and farHeartbeatBytes those of them
+	// to other failure domains. recordBytes counts the bytes of the store's records sent to other entries.
+	heartbeats, heartbeatBytes, farHeartbeatBytes, recordBytes metrics.Counter
 
 	mu sync.Mutex
 	// teams are the teams that are counted by name.
@@ -62,11 +68,18 @@
 		storeReads:    metrics.NewRegisteredCounter("gateway.store.reads", r),
 		storeWrites:   metrics.NewRegisteredCounter("gateway.store.writes", r),
 		storeFailures: metrics.NewRegisteredCounter("gateway.store.failed", r),
-		took:          metrics.NewRegisteredHistogram("gateway.took.ms", r, sample()),
-		waited:        metrics.NewRegisteredHistogram("gateway.waited.ms", r, sample()),
-		firstEvent:    metrics.NewRegisteredHistogram("gateway.first.ms", r, sample()),
-		eventGaps:     metrics.NewRegisteredHistogram("gateway.between.ms", r, sample()),
-		teams:         make(map[string]bool),
+		storeBytes:    metrics.NewRegisteredCounter("gateway.store.bytes", r),
+		heartbeats:    metrics.NewRegisteredCounter("gateway.heartbeats", r),
+
+		heartbeatBytes:    metrics.NewRegisteredCounter("gateway.heartbeats.bytes", r),
+		farHeartbeatBytes: metrics.NewRegisteredCounter("gateway.heartbeats.bytes.far", r),
+		recordBytes:       metrics.NewRegisteredCounter("gateway.records.bytes", r),
+
+		took:       metrics.NewRegisteredHistogram("gateway.took.ms", r, sample()),
+		waited:     metrics.NewRegisteredHistogram("gateway.waited.ms", r, sample()),
+		firstEvent: metrics.NewRegisteredHistogram("gateway.first.ms", r, sample()),
+		eventGaps:  metrics.NewRegisteredHistogram("gateway.between.ms", r, sample()),
+		teams:      make(map[string]bool),
 	}
 }
 
@@ -140,9 +153,24 @@
 	if err != nil || resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusTooManyRequests {
 		s.counters.storeFailures.Inc(1)
 	}
+	if err == nil {
+		resp.Body = &countingBody{resp.Body, s.counters.storeBytes}
+	}
 	return resp, err
 }
 
+// countingBody counts the bytes read from a body.
+type countingBody struct {
+	io.ReadCloser
+	bytes metrics.Counter
+}
+
+func (b *countingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.bytes.Inc(int64(n))
+	return n, err
+}
+
 // serveMetrics writes a line name value for each metric, with the ages of the configuration and the
 // registrations.
 func (g *Gateway) serveMetrics(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -29,6 +29,10 @@
 	queryServers   = "servers"
 	// stateTimeout limits the time of such a request.
 	stateTimeout = time.Second
+	// maxStateResponses limits the answers to such requests at a time. All records of thousands of servers
+	// fill the link of a small VM for a while; an entry that is refused asks another one, and soon there
+	// are many that know.
+	maxStateResponses = 6
 	// maxStateBytes limits the size of its answer: a configuration of hundreds of routes and
 	// registrations of thousands of servers.
 	maxStateBytes = 16 << 20
@@ -36,7 +40,7 @@
 
 // sendHeartbeat sends a heartbeat to other entries. Lost heartbeats need no retry: the next one
 // carries the whole state again.
-func (g *Gateway) sendHeartbeat(b *api.PeerBeat, ips []string) {
+func (g *Gateway) sendHeartbeat(b *api.PeerBeat, ips []string, isFar func(ip string) bool) {
 	data, err := proto.Marshal(b)
 	if err != nil || len(data) > maxHeartbeatBytes {
 		_ = level.Error(g.logger).Log("msg", "A heartbeat cannot be encoded or is too large, and is not sent.", "bytes", len(data), "err", err,
@@ -48,6 +52,11 @@
 		if err != nil {
 			continue
 		}
+		g.metrics.heartbeats.Inc(1)
+		g.metrics.heartbeatBytes.Inc(int64(len(data)))
+		if isFar(ip) {
+			g.metrics.farHeartbeatBytes.Inc(int64(len(data)))
+		}
 		// An error means that the VM is unreachable, which its missing heartbeats show as well.
 		_, _ = g.socket.WriteToUDPAddrPort(data, netip.AddrPortFrom(addr, uint16(g.settings.PeerPort)))
 	}
@@ -80,6 +89,13 @@
 
 // serveState answers another entry with the records that this one holds of the store.
 func (g *Gateway) serveState(w http.ResponseWriter, r *http.Request) {
+	select {
+	case g.stateSlots <- struct{}{}:
+		defer func() { <-g.stateSlots }()
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	query := r.URL.Query()
 	req := stateRequest{
 		operators: parseOffset(query.Get(queryOperators)), servers: parseOffset(query.Get(queryServers)),
@@ -95,6 +111,7 @@
 		result.WriteHTTP(w, err)
 		return
 	}
+	g.metrics.recordBytes.Inc(int64(len(data)))
 	w.Header().Set("Content-Type", "application/protobuf")
 	_, _ = w.Write(data)
 }
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -64,10 +64,17 @@
 	}
 }
 
-// maintainQuarantines reads the stored quarantines once, and stores new ones.
+// maintainQuarantines reads the stored quarantines once, unless the heartbeats of other entries tell of
+// them, and stores new ones.
 func (g *Gateway) maintainQuarantines(ctx context.Context) error {
-	if err := g.untilStored(ctx, 0, "The quarantines could not be read from the store.", g.readQuarantines); err != nil {
-		return err
+	select {
+	case <-g.toldByPeers:
+	case <-g.askStore:
+		if err := g.untilStored(ctx, 0, "The quarantines could not be read from the store.", g.readQuarantines); err != nil {
+			return err
+		}
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 	for {
 		select {
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -9,39 +10,59 @@
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/coord/keyed"
 	"github.com/apricothub/apricothub/coord/peering"
-	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/platform"
 )
 
-// stateRequestInterval is the minimum time between two requests to other entries for records of the
-// store.
-const stateRequestInterval = 300 * time.Millisecond
-
-// maxFreshAge is how long an answer of the store counts as fresh: the longest time between two
-// answers in normal operation, and a margin. After that the other entries read for themselves, well
-// before a configuration must be in force or a leaving server must be known.
-const maxFreshAge = 1500 * time.Millisecond
+const (
+	// stateRequestInterval is the minimum time between two requests to other entries for records of the
+	// store.
+	stateRequestInterval = 300 * time.Millisecond
+	// stateRetryInterval is the same after a request that was refused or failed.
+	stateRetryInterval = 100 * time.Millisecond
+)
 
-// decideStoreReads decides whether this entry reads the store: because it is the reader of its
-// failure domain, because it lacks one of the topics, or because no live entry has a fresh answer
-// for both.
-func (c *control) decideStoreReads(self *api.PeerBeat, live []*api.PeerBeat, now time.Duration) {
-	isReader := peering.IsDomainReader(self, live)
+// decideStoreReads decides whether this entry reads the store: because it is one of the readers for all,
+// because it lacks one of the topics, or because no other entry has a fresh answer for both.
+func (c *control) decideStoreReads(live []*api.PeerBeat, now time.Duration) {
+	self := &api.PeerBeat{
+		Ip: c.g.settings.IP, FailureDomain: c.g.settings.FailureDomain, Serving: c.g.view.Load().ready, Leaving: c.g.leaving.Load(),
+	}
+	readers := peering.SelectStoreReaders(self, live)
+	c.decideStartup(live, now)
+	isReader := slices.Contains(readers, self.GetIp())
+	c.isFirstReader = len(readers) > 0 && readers[0] == self.GetIp()
+	c.g.isStoreReader.Store(isReader)
 	c.g.storeRetryInterval.Store(int64(storeRetryInterval(isReader, len(live)+1)))
-	mustRead := isReader || !c.operators.Ready() || !c.servers.Ready()
-	operatorsAge, serversAge := freshestAges(live)
-	mustRead = mustRead || operatorsAge > maxFreshAge || serversAge > maxFreshAge
-	if !mustRead {
+	operatorsAge, serversAge := freshestAges(c.othersToRely(live, readers))
+	isFresh := max(operatorsAge, serversAge) <= c.g.timing.maxFreshAge
+	if isFresh && !isReader {
 		c.operatorsAt = max(c.operatorsAt, now-operatorsAge)
 		c.serversAt = max(c.serversAt, now-serversAge)
 		c.serversReadFailed = false
 	}
-	c.g.readsStore.Store(mustRead)
+	lacksTopic := !c.operators.Ready() || !c.servers.Ready()
+	c.g.readsStore.Store(c.startup.isDone && (isReader || lacksTopic || !isFresh))
+}
+
+// othersToRely returns the entries whose answers of the store this entry relies on. If it reads the store,
+// these are the readers for all and the entries before it. Otherwise two entries that both read, since the
+// readers for all are cut off from the store, would both stop because of the other.
+func (c *control) othersToRely(live []*api.PeerBeat, readers []string) []*api.PeerBeat {
+	if !c.g.readsStore.Load() {
+		return live
+	}
+	var others []*api.PeerBeat
+	for _, b := range live {
+		if b.GetIp() < c.g.settings.IP || slices.Contains(readers, b.GetIp()) {
+			others = append(others, b)
+		}
+	}
+	return others
 }
 
 // storeRetriesPerSecond limits the calls per second and topic, while the store does not answer, of
-// all entries together that are not the reader of their failure domain.
+// all entries together that do not read it for all.
 const storeRetriesPerSecond = 30
 
 // storeRetryInterval returns the time between two calls of an entry while the store does not
@@ -68,7 +89,7 @@
 // expire.
 func (c *control) isStoreUnreachable(live []*api.PeerBeat, now time.Duration) bool {
 	_, serversAge := freshestAges(live)
-	return c.serversReadFailed && min(serversAge, now-c.serversAt) > maxFreshAge
+	return c.serversReadFailed && min(serversAge, now-c.serversAt) > c.g.timing.maxFreshAge
 }
 
 // freshestAges returns, for each topic, the age of the newest answer of the store to a live entry.
@@ -94,25 +115,37 @@
 	if !c.mayRequestPeerState(now) {
 		return
 	}
-	var ahead []*api.PeerBeat
+	var ahead, near []*api.PeerBeat
 	for _, b := range live {
-		if c.isAhead(b) {
-			ahead = append(ahead, b)
+		if !c.isAhead(b) {
+			continue
+		}
+		ahead = append(ahead, b)
+		if b.GetFailureDomain() == c.g.settings.FailureDomain {
+			near = append(near, b)
 		}
 	}
 	if len(ahead) == 0 {
 		return
 	}
+	// Bytes between failure domains are dear, and the links of the first entries that know are small.
+	if len(near) > 0 {
+		ahead = near
+	}
 	c.stateRequested = true
 	c.stateRequestedAt = now
 	// A random one, so that not all entries call the same one.
 	b := ahead[rand.IntN(len(ahead))]
-	go c.g.fetchState(b.GetIp(), c.operators.NextOffset(), c.servers.NextOffset())
+	c.fetch(b.GetIp(), c.operators.NextOffset(), c.servers.NextOffset())
 }
 
 // mayRequestPeerState reports whether this entry may fetch records from another one now.
 func (c *control) mayRequestPeerState(now time.Duration) bool {
-	if c.stateRequested || now-c.stateRequestedAt < stateRequestInterval {
+	interval := stateRequestInterval
+	if c.stateRequestFailed {
+		interval = stateRetryInterval
+	}
+	if c.stateRequested || now-c.stateRequestedAt < interval {
 		return false
 	}
 	return !c.g.readsStore.Load() || c.isStale(now)
@@ -126,7 +159,7 @@
 // isStale reports whether this entry's own reads of the store are stale, so that others may know
 // more.
 func (c *control) isStale(now time.Duration) bool {
-	return c.serversReadFailed || !c.operators.Ready() || now-c.operatorsAt > maxFreshAge || now-c.serversAt > maxFreshAge
+	return c.serversReadFailed || !c.operators.Ready() || now-c.operatorsAt > c.g.timing.maxFreshAge || now-c.serversAt > c.g.timing.maxFreshAge
 }
 
 // fetchedState is the state of another entry, or nil with an error if it did not answer.
@@ -136,14 +169,13 @@
 	err   error
 }
 
-func (c *control) applyPeerState(f fetchedState) {
-	c.stateRequested = false
+func (c *control) applyPeerState(f fetchedState, now time.Duration) {
+	c.stateRequested, c.stateRequestFailed = false, f.err != nil
 	if f.err != nil {
 		_ = level.Warn(c.logger).Log("msg", "The records of another entry could not be fetched.", "address", f.from, "err", f.err,
 			"result", result.Label(api.ResultCode_LOG_UNAVAILABLE))
 		return
 	}
-	now := clock.Now()
 	c.applyTopic(platform.TopicOperators, c.operators, f.state.GetOperators(), now)
 	c.applyTopic(platform.TopicServers, c.servers, f.state.GetServers(), now)
 	_ = level.Info(c.logger).Log("msg", "Took what another entry holds.", "address", f.from,
@@ -154,28 +186,38 @@
 	if !t.GetKnown() {
 		return
 	}
-	listing := &platform.Listing{End: t.GetNext()}
+	records := make([]keyed.Record, 0, len(t.GetRecords()))
 	for _, r := range t.GetRecords() {
-		listing.Records = append(listing.Records, keyed.Record{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset()})
+		records = append(records, keyed.Record{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset()})
 	}
-	c.applyRecords(topic, table, listing, nil, now)
+	if t.GetOnlyChanges() {
+		c.applyChanges(topic, table.Merge(records, t.GetNext()), now)
+		return
+	}
+	c.applyRecords(topic, table, &platform.Listing{Records: records, End: t.GetNext()}, nil, now)
 }
 
 // stateBeyond returns the records that this entry holds beyond what another one has read.
 func (c *control) stateBeyond(req stateRequest) *api.PeerState {
 	state := &api.PeerState{}
 	if c.operatorsChangedAt > req.operators || req.operators == 0 {
-		state.Operators = topicState(c.operators)
+		state.Operators = topicState(c.operators, c.operatorsLog, req.operators)
 	}
 	if c.serversChangedAt > req.servers || req.servers == 0 {
-		state.Servers = topicState(c.servers)
+		state.Servers = topicState(c.servers, c.serversLog, req.servers)
 	}
 	return state
 }
 
-func topicState(table *keyed.Table) *api.KeyedTopic {
+// topicState returns the records that have changed since an offset, or all of them if the other entry has
+// read nothing yet or has read less than the log of changes covers.
+func topicState(table *keyed.Table, changes *keyed.ChangeLog, since int64) *api.KeyedTopic {
 	t := &api.KeyedTopic{Known: table.Ready(), Next: table.NextOffset()}
-	for _, r := range table.Records() {
+	records, ok := changes.Since(table, since)
+	if t.OnlyChanges = ok && since > 0; !t.GetOnlyChanges() {
+		records = table.Records()
+	}
+	for _, r := range records {
 		t.Records = append(t.Records, &api.KeyedRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
 	}
 	return t
--- /dev/null
+++ b/internal/gateway/startup.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/platform"
+)
+
+const (
+	// minStartDelay is how long a process that starts waits for what other entries know before it asks the
+	// store: some exchanges of heartbeats and one of records.
+	minStartDelay = 250 * time.Millisecond
+	// startSpread is the time over which entries begin to ask the store if all start at once and none of
+	// those that the settings name is there. The first ones tell the others.
+	startSpread = 750 * time.Millisecond
+	// maxToldWait is how long it waits at most while it hears of an entry that can tell it everything, but
+	// that has many others to tell.
+	maxToldWait = 2 * time.Second
+)
+
+// startup decides whether a process that starts asks the store for the records and the list of entries, or
+// takes them from other entries.
+//
+// When all entries start at once and each asks the store, its calls and bytes grow with the number of entries
+// and with its square. So only the entries that the settings name as seeds ask at once. The others ask a
+// live entry, and the store only if none has told them everything after a while.
+type startup struct {
+	startedAt time.Duration
+	// delay is how long it waits for other entries.
+	delay time.Duration
+	// isDone means that it is decided.
+	isDone bool
+}
+
+func newStartup(s *platform.Settings, now time.Duration) startup {
+	u := startup{startedAt: now}
+	others := slices.DeleteFunc(slices.Clone(s.Seeds), func(seed string) bool { return seed == s.IP })
+	if isSeed := len(others) < len(s.Seeds); isSeed || len(others) == 0 {
+		return u
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s.IP))
+	u.delay = minStartDelay + time.Duration(float64(startSpread)*float64(h.Sum32()%1000)/1000)
+	return u
+}
+
+// decideStartup decides, once, between the store and other entries.
+func (c *control) decideStartup(live []*api.PeerBeat, now time.Duration) {
+	if c.startup.isDone {
+		return
+	}
+	isTold := c.operators.Ready() && c.servers.Ready() && c.peers.MembersKnown()
+	waited := now - c.startup.startedAt
+	switch {
+	case isTold:
+		close(c.g.toldByPeers)
+	case waited >= c.startup.delay && (waited >= maxToldWait || !slices.ContainsFunc(live, knowsEverything)):
+		close(c.g.askStore)
+	default:
+		return
+	}
+	c.startup.isDone = true
+}
+
+// knowsEverything reports whether an entry can tell one that starts all that the store would.
+func knowsEverything(b *api.PeerBeat) bool {
+	return b.GetOperatorsChanged() > 0 && b.GetServersChanged() > 0 && b.GetMembersKnown()
+}
