Keep the other groups of a service in service while one is broken

Cause: an engine's refusal with free slots stopped its whole service at the entry until that engine's group was open again, up to 5 s. That holds for one group; the fleet has four of 129 ranks, and the other three stood idle.

Change: where a service has engines for one and a half groups and more, only the engine itself gets no requests for 1 s, and the request waits up to 0.4 s for the coordinator's report, which names all engines of the group, before its next attempt. An engine tells the size of its group when the entry starts.

Test: TestABrokenGroupLeavesTheOthersInService, red before for the first refusal.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -93,6 +93,8 @@
 	firstEventDelays map[string]time.Duration
 	// refusing are the services for which this entry has observed that no server accepts work.
 	refusing map[string]bool
+	// groupSizes holds the size of the groups of each lock-step service, as an engine has reported it.
+	groupSizes map[string]int
 	// confirmed are the lock-step services that have been marked as refusing once, when this process
 	// first knew a server of theirs; unconfirmed are those of them to be returned by takeUnconfirmed.
 	confirmed   map[string]bool
@@ -128,6 +130,10 @@
 	isFirst  bool
 	// replacedUntil is until when it gets no new work because another server answered at its address.
 	replacedUntil time.Duration
+	// refusedAt is when it last refused a request although it had free slots and its service has several
+	// groups; hasRefused means that it has.
+	refusedAt  time.Duration
+	hasRefused bool
 	// isLeaving means that it gets no new work, since it drains or its failure domain is out.
 	isLeaving bool
 	// saysLeaving means that it has said in an answer that it leaves.
@@ -178,6 +184,7 @@
 		restsAsked:       metrics.NilCounter{},
 		divisions:        metrics.NilCounter{},
 		refusing:         make(map[string]bool),
+		groupSizes:       make(map[string]int),
 		confirmed:        make(map[string]bool),
 	}
 }
@@ -225,7 +232,7 @@
 			s = &server{hash: peering.ServerHash(r.ID), joinedAt: now, isFirst: !f.hasServers}
 		}
 		if s.StartedAtUnixMs != r.StartedAtUnixMs {
-			s.workTime, s.replacedUntil, s.saysLeaving = 0, 0, false
+			s.workTime, s.replacedUntil, s.saysLeaving, s.hasRefused = 0, 0, false, false
 			f.rateLimits.Reset(s.hash, now)
 			f.resting.Reset(s.ID)
 		}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -252,7 +252,7 @@
 // and not be sent from one engine to the next.
 func TestRequestsWaitForABrokenGroup(t *testing.T) {
 	f := newTestFleet(2, 12, 1, 0)
-	if !f.markRefusing("i-0") || f.markRefusing("i-1") {
+	if !f.markRefusing("i-0", 0) || f.markRefusing("i-1", 0) {
 		t.Fatal("a refusal by an engine with free slots must mark its service as refusing, once")
 	}
 	type outcome struct {
@@ -290,11 +290,45 @@
 	}
 }
 
+// One of several groups of a service is broken. The others must go on to get requests, and a request that an
+// engine of the broken group has refused must wait for the word which engines are closed, and then be sent
+// to another group.
+func TestABrokenGroupLeavesTheOthersInService(t *testing.T) {
+	const groups, size = 4, 10
+	f := newTestFleet(groups*size, 12, 1, 0)
+	f.noteGroupSize("app", size)
+	if f.markRefusing("i-0", 0) {
+		t.Fatal("the refusal of one engine stops the whole service")
+	}
+	for range 60 {
+		if id, code := f.pickApp(msec); code != api.ResultCode_OK || id == "i-0" {
+			t.Fatalf("request placed on %q with %v", id, code)
+		}
+	}
+	if !f.awaitsReport("i-0", 100*msec) || f.awaitsReport("i-0", maxReportWait) || f.awaitsReport("i-1", 100*msec) {
+		t.Error("a request that i-0 has refused waits too long or not at all, or one of i-1 waits")
+	}
+	closed := make(map[string]experts.Impairment)
+	for i := range size {
+		closed[fmt.Sprint("i-", i)] = experts.Impairment{Slowdown: 1, Closed: true}
+	}
+	f.setPeerReports(peering.NewLoadSums(), closed, 200*msec)
+	if f.awaitsReport("i-0", 200*msec) {
+		t.Error("a request waits though the closed engines are known")
+	}
+	for range 100 {
+		id, code := f.pickApp(201 * msec)
+		if _, isClosed := closed[id]; code != api.ResultCode_OK || isClosed {
+			t.Fatalf("request placed on %q with %v", id, code)
+		}
+	}
+}
+
 // A full engine refuses a request. That must not stop the service.
 func TestAFullEngineDoesNotStopItsService(t *testing.T) {
 	f := newTestFleet(1, 1, 1, 0)
 	id, _ := f.pickApp(0)
-	if f.markRefusing(id) {
+	if f.markRefusing(id, 0) {
 		t.Error("the service was marked as refusing")
 	}
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -210,7 +210,7 @@
 		case unsent:
 		case notRun:
 			// A server that asks for rest speaks of itself, not of its group.
-			if !attempted.asksForRest && g.fleet.markRefusing(s.ID) {
+			if !attempted.asksForRest && g.fleet.markRefusing(s.ID, clock.Now()) {
 				go g.watchRefusing(s.Server)
 			}
 		case moved:
@@ -263,6 +263,20 @@
 	maxFallbackWaitRatio = 0.5
 )
 
+// pickAgain picks a backend server for another attempt of a request, given the outcome of the last one.
+func (g *Gateway) pickAgain(t *task, outcome attemptOutcome, now time.Duration) (placement, api.ResultCode) {
+	if outcome == notRun && g.fleet.awaitsReport(t.tried[len(t.tried)-1], now) {
+		return placement{}, api.ResultCode_SATURATED
+	}
+	req := pickRequest{service: t.service, tried: t.tried, timeLeft: timeLeft(t.deadline, now)}
+	s, code := g.fleet.pickForRetry(req, now)
+	if code != api.ResultCode_OK && outcome == serverError {
+		req.tried = nil
+		s, code = g.fleet.pickForRetry(req, now)
+	}
+	return s, code
+}
+
 // waitForRetryServer picks a backend server for another attempt of a request that is already admitted,
 // given the outcome of the last one. If none is available, it waits for one, for maxRetryServerWait at
 // most, also if the caller already has part of the answer.
@@ -277,12 +291,7 @@
 	}
 	for {
 		now := clock.Now()
-		req := pickRequest{service: t.service, tried: t.tried, timeLeft: timeLeft(t.deadline, now)}
-		s, code := g.fleet.pickForRetry(req, now)
-		if code != api.ResultCode_OK && outcome == serverError {
-			req.tried = nil
-			s, code = g.fleet.pickForRetry(req, now)
-		}
+		s, code := g.pickAgain(t, outcome, now)
 		if code == api.ResultCode_OK {
 			return s, nil
 		}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -66,7 +66,7 @@
 		f.reportLoad(s, now)
 		// When all servers of a service fail, the cause lies elsewhere, and no server is worse than
 		// the others. When the others rest, a server that has failed is better than none.
-		isSuspect := s.closed || s.saysLeaving || now < s.replacedUntil || f.isStraggler(id, s, hasFast, now) || f.refusing[s.Service] ||
+		isSuspect := s.closed || s.saysLeaving || now < s.replacedUntil || s.isRefusing(now) || f.isStraggler(id, s, hasFast, now) || f.refusing[s.Service] ||
 			f.isUnavailable(id, now) && unusable[s.Service] < total[s.Service]
 		f.table.SetSuspect(id, isSuspect || f.isPaused(s, now))
 		if hasPaused && !isSuspect && !s.isLeaving {
--- a/internal/gateway/refusing.go
+++ b/internal/gateway/refusing.go
@@ -23,6 +23,15 @@
 	// maxUnconfirmedTime is how long this process waits at most until an engine says that its group is
 	// open. By then the coordinator reports which engines are closed.
 	maxUnconfirmedTime = 2 * time.Second
+	// refusalHold is how long an engine that has refused a request gets none, where its service has several
+	// groups. By then the coordinator reports all engines of its group as closed.
+	refusalHold = time.Second
+	// maxReportWait is how long a request that an engine has refused waits for that report before it goes to
+	// another engine, which may be of the same group: with few attempts a second refusal is the last.
+	maxReportWait = 400 * time.Millisecond
+	// minSeveralGroups is the ratio of a service's engines to the size of a group from which on it has
+	// several groups, also while some engines are gone.
+	minSeveralGroups = 1.5
 )
 
 // markRefusing records that an engine with free slots has refused a request. It returns true if the
@@ -32,18 +41,63 @@
 // until the group has formed again. Without this, each request would be sent to one engine after
 // the other, refused by all, and out of attempts when the group is back a second later. Instead one
 // engine is polled for its state, and the requests wait.
-func (f *fleet) markRefusing(id string) bool {
+//
+// Where a service has several groups, the others still serve, and only the engine itself gets no requests.
+func (f *fleet) markRefusing(id string, now time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[id]
 	if s == nil || s.service.Engine == nil || f.refusing[s.Service] || s.ownInFlight+s.othersInFlight >= s.Concurrency {
 		return false
 	}
+	if f.hasSeveralGroups(s.Service) {
+		s.refusedAt, s.hasRefused = now, true
+		f.updatePlacement(now)
+		return false
+	}
 	f.refusing[s.Service] = true
-	f.updatePlacement(clock.Now())
+	f.updatePlacement(now)
 	return true
 }
 
+// noteGroupSize records the size of the groups of a service, as an engine reports it; zero for unknown.
+func (f *fleet) noteGroupSize(service string, size int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if size > 0 {
+		f.groupSizes[service] = size
+	}
+}
+
+// hasSeveralGroups reports whether the engines of a service form several groups. The caller holds the lock.
+func (f *fleet) hasSeveralGroups(service string) bool {
+	size := f.groupSizes[service]
+	if size == 0 {
+		return false
+	}
+	engines := 0
+	for _, s := range f.servers {
+		if s.Service == service && !s.isLeaving {
+			engines++
+		}
+	}
+	return float64(engines) >= minSeveralGroups*float64(size)
+}
+
+// isRefusing reports whether the server has refused a request lately and its group may be broken.
+func (s *server) isRefusing(now time.Duration) bool {
+	return s.hasRefused && now-s.refusedAt < refusalHold
+}
+
+// awaitsReport reports whether a request that a server has just refused is to wait for the coordinator's report
+// on the server's group.
+func (f *fleet) awaitsReport(id string, now time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[id]
+	return s != nil && s.hasRefused && !s.closed && now-s.refusedAt < maxReportWait
+}
+
 // markUnconfirmed marks a lock-step service as refusing when this process first knows a server of it.
 // The caller holds the lock.
 //
@@ -121,7 +175,9 @@
 	isOpen := false
 	for !isOpen && clock.Now()-began < maxUnconfirmedTime {
 		if s, ok := g.fleet.randomServer(service); ok {
-			isOpen = g.rankState(s).GetOpen()
+			state := g.rankState(s)
+			isOpen = state.GetOpen()
+			g.fleet.noteGroupSize(service, int(state.GetSize()))
 		}
 		if !isOpen {
 			select {
@@ -139,6 +195,7 @@
 // isGroupOpen reports whether an engine's group is open, or it has none.
 func (g *Gateway) isGroupOpen(s registry.Server) bool {
 	state := g.rankState(s)
+	g.fleet.noteGroupSize(s.Service, int(state.GetSize()))
 	return state != nil && (state.GetGroup() == "" || state.GetOpen())
 }
 
