--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -32,7 +35,10 @@
 	// maxStateResponses limits the answers to such requests at a time. All records of thousands of servers
 	// fill the link of a small VM for a while; an entry that is refused asks another one, and soon there
 	// are many that know.
-	maxStateResponses = 6
+	maxStateResponses = 8
+	// minCompressedState is the size in bytes from which on an answer is compressed. Registrations of
+	// hundreds of servers shrink to a sixth, which is what a small VM can send to many entries at once.
+	minCompressedState = 8 << 10
 	// maxStateBytes limits the size of its answer: a configuration of hundreds of routes and
 	// registrations of thousands of servers.
 	maxStateBytes = 16 << 20
@@ -111,11 +117,25 @@
 		result.WriteHTTP(w, err)
 		return
 	}
-	g.metrics.recordBytes.Inc(int64(len(data)))
 	w.Header().Set("Content-Type", "application/protobuf")
+	if len(data) >= minCompressedState && strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		w.Header().Set("Content-Encoding", "gzip")
+		data = compress(data)
+	}
+	g.metrics.recordBytes.Inc(int64(len(data)))
 	_, _ = w.Write(data)
 }
 
+// compress returns data in gzip format.
+func compress(data []byte) []byte {
+	var compressed bytes.Buffer
+	// Neither writing to a buffer nor this level can fail.
+	z, _ := gzip.NewWriterLevel(&compressed, gzip.BestSpeed)
+	_, _ = z.Write(data)
+	_ = z.Close()
+	return compressed.Bytes()
+}
+
 // stateRequest asks the control goroutine for the records beyond the offsets that another entry has
 // read up to.
 type stateRequest struct {
