Keep news for the next digest if one has just been sent

Cause: a relay forgot that it had urgent news when its last digest was less than 50 ms old, so that the news waited for the next regular one, up to 0.2 s.

--- a/coord/peering/digest.go
+++ b/coord/peering/digest.go
@@ -66,11 +66,11 @@
 	t.attach(now)
 	messages := t.takeOwn(urgent, now)
 	messages = append(messages, t.takeWelcomes(now)...)
-	if t.isRelay {
-		messages = append(messages, t.takeDigests(urgent, now)...)
+	if !t.isRelay {
+		t.mustRelay = false
+		return messages
 	}
-	t.mustRelay = false
-	return messages
+	return append(messages, t.takeDigests(urgent, now)...)
 }
 
 // takeMesh returns the heartbeats where they go from all to all. An entry that has just started is told
@@ -267,6 +267,7 @@
 	if t.toRelays.round > 0 && now-t.toRelays.sentAt < wait {
 		return nil
 	}
+	t.mustRelay = false
 	var relays, members []*peer
 	isOther := make(map[*peer]bool)
 	for _, p := range t.sorted {
