--- a/coord/peering/loads.go
+++ b/coord/peering/loads.go
@@ -16,12 +16,16 @@
 	return h.Sum32()
 }
 
+// maxInFlight limits the requests of one entry at one backend server that a heartbeat tells, far above what a
+// server takes. A broken heartbeat could otherwise fill the memory.
+const maxInFlight = 1 << 12
+
 // InFlight returns the requests in flight that a heartbeat tells: the hash of a backend server for
 // each of them.
 func InFlight(heartbeat *api.PeerBeat) []uint32 {
 	inFlight := heartbeat.GetInFlight()
 	for _, load := range heartbeat.GetLoads() {
-		for range load.GetInFlight() {
+		for range min(load.GetInFlight(), maxInFlight) {
 			inFlight = append(inFlight, ServerHash(load.GetId()))
 		}
 	}
