--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -70,7 +70,7 @@
 //
 // During an outage of the store nobody has a fresh answer, and every entry reads for itself.
 // Without this limit the calls would grow with the number of entries, and overload a store that has
-// just recovered. The readers of the failure domains are not slowed down and notice the recovery at
+// just recovered. The entries that read for all are not slowed down and notice the recovery at
 // once; the others learn of it from them.
 func storeRetryInterval(isReader bool, entries int) time.Duration {
 	if isReader {
