Let entries that start wait while others have fresh answers of the store

Cause: an entry that started asked the store after a second unless another one had configuration and registrations to tell.

Change: it asks only if no live entry has fresh answers, or if records that another one has do not arrive within 2 s.

Test: TestAStartBeforeTheFirstConfigurationTakesFewCalls, red before (1,827 calls with 200 entries, 500 allowed).

--- a/internal/gateway/controlfleet_test.go
+++ b/internal/gateway/controlfleet_test.go
@@ -262,6 +262,27 @@
 	}
 }
 
+// Guards against a first start at which every entry asks the store, since there is no configuration yet that
+// another one could tell.
+func TestAStartBeforeTheFirstConfigurationTakesFewCalls(t *testing.T) {
+	t.Parallel()
+	for _, n := range fleetSizes() {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			f := newControlFleet(t, n, 50)
+			operators := f.operators
+			f.operators = platform.Listing{}
+			f.run(4 * time.Second)
+			f.operators = operators
+			f.untilReady(4 * time.Second)
+			const maxCalls = 500
+			if f.storeCalls > maxCalls {
+				t.Errorf("the start took %d calls, want %d at most", f.storeCalls, maxCalls)
+			}
+		})
+	}
+}
+
 // Guards against calls that grow with the number of entries, in peace and while the store is away.
 func TestCallsToTheStoreDoNotGrowWithTheFleet(t *testing.T) {
 	t.Parallel()
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -16,8 +16,8 @@
 	// startSpread is the time over which entries begin to ask the store if all start at once and none of
 	// those that the settings name is there. The first ones tell the others.
 	startSpread = 750 * time.Millisecond
-	// maxToldWait is how long it waits at most while it hears of an entry that can tell it everything, but
-	// that has many others to tell.
+	// maxToldWait is how long it waits at most for records that another entry has, and that has many others to
+	// tell.
 	maxToldWait = 2 * time.Second
 )
 
@@ -29,8 +29,11 @@
 // live entry, and the store only if none has told them everything after a while.
 type startup struct {
 	startedAt time.Duration
-	// delay is how long it waits for other entries.
-	delay time.Duration
+	// delay is how long it waits for other entries. behindSince is since when another one has records that
+	// this one lacks; isBehind means that one has.
+	delay       time.Duration
+	behindSince time.Duration
+	isBehind    bool
 	// isDone means that it is decided.
 	isDone bool
 }
@@ -47,25 +50,26 @@
 	return u
 }
 
-// decideStartup decides, once, between the store and other entries.
+// decideStartup decides, once, between the store and other entries. While others have fresh answers of the store,
+// there is nothing to ask it: what they have or will read, they tell.
 func (c *control) decideStartup(live []*api.PeerBeat, now time.Duration) {
 	if c.startup.isDone {
 		return
 	}
+	u := &c.startup
+	if !u.isBehind && slices.ContainsFunc(live, c.isAhead) {
+		u.behindSince, u.isBehind = now, true
+	}
 	isTold := c.operators.Ready() && c.servers.Ready() && c.peers.MembersKnown()
-	waited := now - c.startup.startedAt
+	operatorsAge, serversAge := freshestAges(live)
+	isFresh := max(operatorsAge, serversAge) <= c.g.timing.maxFreshAge
 	switch {
 	case isTold:
 		close(c.g.toldByPeers)
-	case waited >= c.startup.delay && (waited >= maxToldWait || !slices.ContainsFunc(live, knowsEverything)):
+	case now-u.startedAt >= u.delay && !isFresh, u.isBehind && now-u.behindSince >= maxToldWait:
 		close(c.g.askStore)
 	default:
 		return
 	}
 	c.startup.isDone = true
 }
-
-// knowsEverything reports whether an entry can tell one that starts all that the store would.
-func knowsEverything(b *api.PeerBeat) bool {
-	return b.GetOperatorsChanged() > 0 && b.GetServersChanged() > 0 && b.GetMembersKnown()
-}
