Name requests in logs by a digest of their content

Callers saw one request after the other fail while servers ended in turn, and the logs could not tell whether the same content was behind it: lines about ends were written for requests with shared parts alone, and nothing in them recognises a repeat under a new ID. Lines about broken attempts, ends of servers and refusals now have request_digest and last_part, and servers are checked after every answer that broke off.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -90,7 +90,6 @@
 	}
 	g.fleet.endAttempt(s.ID, a.serverOutcome, clock.Now()-began, clock.Now())
 	switch {
-	case len(t.SharedParts) == 0:
 	case outcome == broken && a.events >= soundEvents:
 		go g.checkOutage(t, s.Server)
 	case outcome == broken:
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -97,11 +97,11 @@
 // logEnd logs a request that ended without a backend server's answer.
 func (g *Gateway) logEnd(t *task, msg string, code api.ResultCode) {
 	_ = level.Warn(g.logger).Log(line(t, msg, func() [][]any {
-		var prompt []any
+		var content []any
 		if code == api.ResultCode_PROMPT_QUARANTINED {
-			prompt = t.promptFields()
+			content = t.contentFields()
 		}
-		return [][]any{{"result", result.Label(code), "tried", len(t.tried)}, prompt, g.requestFields(t), g.slotFields(t)}
+		return [][]any{{"result", result.Label(code), "tried", len(t.tried)}, content, g.requestFields(t), g.slotFields(t)}
 	})...)
 }
 
@@ -117,7 +117,7 @@
 	_ = level.Warn(g.logger).Log(line(t, "An attempt came to nothing.", func() [][]any {
 		failure := []any{"verdict", outcome, "result", result.Label(outcome.resultCode()), "err", err, "again", retry}
 		if outcome == broken {
-			failure = append(failure, t.promptFields()...)
+			failure = append(failure, t.contentFields()...)
 		}
 		if !retry {
 			failure = append(failure, "why", why)
@@ -129,10 +129,14 @@
 // maxLoggedParts limits the parts of a prompt in a log line.
 const maxLoggedParts = 8
 
-// promptFields are the log fields about the parts of a request's prompt.
-func (t *task) promptFields() []any {
-	if len(t.SharedParts) == 0 {
-		return nil
+// contentFields are the log fields about what a request consists of.
+func (t *task) contentFields() []any {
+	fields := []any{"request_digest", t.digest}
+	if len(t.SharedParts) > 0 {
+		fields = append(fields, "prompt_parts", strings.Join(t.SharedParts[:min(len(t.SharedParts), maxLoggedParts)], ","))
+	}
+	if t.LastPart != "" {
+		fields = append(fields, "last_part", t.LastPart)
 	}
-	return []any{"prompt_parts", strings.Join(t.SharedParts[:min(len(t.SharedParts), maxLoggedParts)], ",")}
+	return fields
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -29,6 +29,8 @@
 	method, uri, host string
 	header            http.Header
 	body              []byte
+	// digest is the same for all requests with the same method, path, query and body.
+	digest string
 	route             *routing.Route
 	service           string
 	team              string
@@ -133,7 +135,11 @@
 	if t.route.Timeout > 0 && (t.deadline == 0 || t.arrivedAt+t.route.Timeout < t.deadline) {
 		t.deadline = t.arrivedAt + t.route.Timeout
 	}
-	return t.readBody(r, v.table.Limits.BodyBytes)
+	if err := t.readBody(r, v.table.Limits.BodyBytes); err != nil {
+		return err
+	}
+	t.digest = digest(t.method, t.uri, t.body)
+	return nil
 }
 
 // findTeam finds the team of a request and its rank.
--- a/internal/logging/keys.go
+++ b/internal/logging/keys.go
@@ -59,6 +59,8 @@
 	{"route", "name of the route that the request matched"},
 	{"kind", "how the request may be retried: once, idempotent or stream; for an order to a rank, the kind of order"},
 	{"prompt_parts", "ids of the parts of the prompt that other requests may share"},
+	{"last_part", "id of the last part of the prompt, which belongs to the request or to its session"},
+	{"request_digest", "digest of the method, path, query and body: the same if a caller repeats the request under a new id"},
 	{"prompt_part", "id of a part of prompts"},
 	{"answer_begun", "whether the answer had got past its beginning when the server ended"},
 	{"times", "how often the part has been quarantined"},
