--- a/test/gateway_crashing_part_test.go
+++ b/test/gateway_crashing_part_test.go
@@ -32,29 +32,44 @@
 	crashEvents = 5
 )
 
-// crashingSite is a site whose servers end as they begin to answer a request with one of some parts in its
-// prompt, or when the test says so.
+// crashingSite is a site whose servers end as they begin to answer some requests, or when the test says so.
 type crashingSite struct {
 	*site
-	badParts []string
+	// cause returns what about a request ends the servers, one of causes; empty for a sound request.
+	cause  func(fakeplatform.ReceivedRequest) string
+	causes []string
 	// lockStep means that the answers of all servers break off when one of them ends, unframed that answers
-	// have neither a length nor chunks, and that those under a bad part end with their connection alone.
+	// have neither a length nor chunks, and that those to bad requests end with their connection alone.
 	lockStep, unframed bool
+	// eventsBefore is the number of whole events that a bad stream brings before its server ends.
+	eventsBefore int
 
 	mu      sync.Mutex
 	running map[string]*fakeplatform.Server
 	started int
-	// crashes and arrivals are the times at which servers ended under each part, and at which requests
+	// crashes and arrivals are the times at which servers ended by each cause, and at which requests
 	// with it reached servers.
 	crashes, arrivals map[string][]time.Time
 }
 
+// startCrashingSite starts a site whose servers end under some parts of prompts.
 func startCrashingSite(t *testing.T, gateways int, lockStep, unframed bool, badParts ...string) *crashingSite {
 	t.Helper()
-	c := &crashingSite{
-		badParts: badParts, lockStep: lockStep, unframed: unframed, running: make(map[string]*fakeplatform.Server),
-		crashes: make(map[string][]time.Time), arrivals: make(map[string][]time.Time),
-	}
+	c := &crashingSite{lockStep: lockStep, unframed: unframed, causes: badParts, cause: func(seen fakeplatform.ReceivedRequest) string {
+		prompt := seen.Request.Header.Get("Prompt-Prefix")
+		if i := slices.IndexFunc(badParts, func(part string) bool { return strings.Contains(prompt, part+":") }); i >= 0 {
+			return badParts[i]
+		}
+		return ""
+	}}
+	c.start(t, gateways)
+	return c
+}
+
+func (c *crashingSite) start(t *testing.T, gateways int) {
+	t.Helper()
+	c.running = make(map[string]*fakeplatform.Server)
+	c.crashes, c.arrivals = make(map[string][]time.Time), make(map[string][]time.Time)
 	c.site = startSite(t, gateways, c.answer)
 	c.mu.Lock()
 	for _, s := range c.servers {
@@ -65,7 +80,6 @@
 		c.startServer(domains[i%len(domains)])
 	}
 	time.Sleep(time.Second)
-	return c
 }
 
 // startServer starts a server under a new ID.
@@ -102,31 +116,62 @@
 
 // answer is the handler of the servers.
 func (c *crashingSite) answer(seen fakeplatform.ReceivedRequest, conn net.Conn) bool {
-	prompt := seen.Request.Header.Get("Prompt-Prefix")
-	bad := slices.IndexFunc(c.badParts, func(part string) bool { return strings.Contains(prompt, part+":") })
-	if bad >= 0 {
+	cause := c.cause(seen)
+	if cause != "" {
 		c.mu.Lock()
-		c.arrivals[c.badParts[bad]] = append(c.arrivals[c.badParts[bad]], time.Now())
+		c.arrivals[cause] = append(c.arrivals[cause], time.Now())
 		c.mu.Unlock()
 	}
 	time.Sleep(promptTime)
+	isStream := strings.HasPrefix(seen.Request.URL.Path, "/draft/") || strings.HasPrefix(seen.Request.URL.Path, "/chat/")
+	if cause != "" {
+		if isStream && !c.unframed {
+			c.beginStream(seen, conn)
+		} else if isStream {
+			_, _ = io.WriteString(conn, c.unframedHead(seen))
+		}
+		c.crash(seen.Request.Header.Get("Target-Instance"), cause)
+		return false
+	}
+	if !isStream {
+		return fakeplatform.Echo(seen, conn)
+	}
+	return c.stream(seen, conn)
+}
+
+// beginStream sends the events of a bad stream that come before its server ends, and a part of the next one.
+func (c *crashingSite) beginStream(seen fakeplatform.ReceivedRequest, conn net.Conn) {
+	_, _ = io.WriteString(conn, fakeplatform.StreamHead(seen))
+	resumeAfter, _ := strconv.Atoi(seen.ResumeAfter())
+	for n := range c.eventsBefore {
+		_, _ = io.WriteString(conn, fakeplatform.Chunk(fakeplatform.Event(resumeAfter+n+1)))
+		time.Sleep(promptTime / 3)
+	}
+	_, _ = io.WriteString(conn, fakeplatform.Chunk(fmt.Sprintf("id: %d\nda", resumeAfter+c.eventsBefore+1)))
+}
+
+// crash ends a server by a cause.
+func (c *crashingSite) crash(id, cause string) {
+	if c.end(id) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.crashes[cause] = append(c.crashes[cause], time.Now())
+	}
+}
+
+// unframedHead returns the head of a stream without chunks.
+func (c *crashingSite) unframedHead(seen fakeplatform.ReceivedRequest) string {
+	return strings.Replace(fakeplatform.StreamHead(seen), "Transfer-Encoding: chunked\r\n", "", 1)
+}
+
+// stream sends a whole stream, from the event on that the caller lacks.
+func (c *crashingSite) stream(seen fakeplatform.ReceivedRequest, conn net.Conn) bool {
 	head, piece, tail := fakeplatform.StreamHead(seen), fakeplatform.Chunk, "0\r\n\r\n"
 	if c.unframed {
-		head = strings.Replace(head, "Transfer-Encoding: chunked\r\n", "", 1)
+		head = c.unframedHead(seen)
 		piece, tail = func(text string) string { return text }, ""
 	}
 	_, _ = io.WriteString(conn, head)
-	if bad >= 0 {
-		if !c.unframed {
-			_, _ = io.WriteString(conn, piece("id: 1\nda"))
-		}
-		if c.end(seen.Request.Header.Get("Target-Instance")) {
-			c.mu.Lock()
-			c.crashes[c.badParts[bad]] = append(c.crashes[c.badParts[bad]], time.Now())
-			c.mu.Unlock()
-		}
-		return false
-	}
 	resumeAfter, _ := strconv.Atoi(seen.ResumeAfter())
 	for n := resumeAfter + 1; n <= crashEvents; n++ {
 		if _, err := io.WriteString(conn, piece(fakeplatform.Event(n))); err != nil {
@@ -138,7 +183,7 @@
 	return err == nil && !c.unframed
 }
 
-// crashCaller sends streams with a prompt to all gateways in turn.
+// crashCaller sends requests to all gateways in turn.
 type crashCaller struct {
 	mu sync.Mutex
 	// sentAt and served are when each request was sent and whether its stream was whole.
@@ -150,9 +195,18 @@
 	quarantined int
 }
 
-// startCrashCaller sends a request each interval until the function that it returns is called. prompt
+// startCrashCaller sends a stream each interval until the function that it returns is called. parts
 // returns the parts of the prompt that may be shared.
-func (c *crashingSite) startCrashCaller(name string, interval time.Duration, prompt func(n int) string) (*crashCaller, func()) {
+func (c *crashingSite) startCrashCaller(name string, interval time.Duration, parts func(n int) string) (*crashCaller, func()) {
+	return c.startCaller(name, interval, func(n int) (path, prompt string) {
+		id := fmt.Sprintf("%s-%d", name, n)
+		return "/draft/" + id, parts(n) + "," + id + ":20"
+	})
+}
+
+// startCaller is startCrashCaller for requests to any path; request returns the path and the prompt of
+// request n. An empty prompt leaves the header out.
+func (c *crashingSite) startCaller(name string, interval time.Duration, request func(n int) (path, prompt string)) (*crashCaller, func()) {
 	caller := &crashCaller{statuses: make(map[int]int)}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}, Timeout: siteTimeout}
 	stop := make(chan struct{})
@@ -160,7 +214,8 @@
 	wg.Go(func() {
 		for n := 0; !isClosed(stop); n++ {
 			wg.Go(func() {
-				caller.send(client, c.gateways[n%len(c.gateways)].ip, fmt.Sprintf("%s-%d", name, n), prompt(n))
+				path, prompt := request(n)
+				caller.send(client, c.gateways[n%len(c.gateways)].ip, path, fmt.Sprintf("%s-%d", name, n), prompt)
 			})
 			time.Sleep(interval)
 		}
@@ -171,18 +226,21 @@
 	}
 }
 
-func (l *crashCaller) send(client *http.Client, ip, id, prompt string) {
+func (l *crashCaller) send(client *http.Client, ip, path, id, prompt string) {
 	sentAt := time.Now()
 	status, whole, isQuarantined := 0, false, false
-	req, err := fakeplatform.NewRequest(net.JoinHostPort(ip, fakeplatform.PortCallers), "/draft/"+id, id)
+	req, err := fakeplatform.NewRequest(net.JoinHostPort(ip, fakeplatform.PortCallers), path, id)
 	if err == nil {
-		req.Header.Set("Prompt-Prefix", prompt+","+id+":20")
+		if prompt != "" {
+			req.Header.Set("Prompt-Prefix", prompt)
+		}
 		if resp, err := client.Do(req); err == nil {
 			text, err := io.ReadAll(resp.Body)
 			_ = resp.Body.Close()
 			status = resp.StatusCode
 			isQuarantined = strings.Contains(resp.Header.Get("Apricothub-Result"), api.ResultCode_PROMPT_QUARANTINED.String())
-			whole = err == nil && status == http.StatusOK && strings.HasSuffix(string(text), fakeplatform.Event(crashEvents))
+			isWhole := string(text) == "answer to "+id || strings.HasSuffix(string(text), fakeplatform.Event(crashEvents))
+			whole = err == nil && status == http.StatusOK && isWhole
 		}
 	}
 	l.mu.Lock()
@@ -279,40 +337,48 @@
 	g.Restart()
 }
 
-// check checks what reached the servers after the fifth crash under each part, and how sound requests fared
+// check checks what reached the servers after the fifth crash by each cause, and how sound requests fared
 // from 2 x contactTime after it.
 func (c *crashingSite) check(t *testing.T, sound *crashCaller, began, end time.Time) {
+	t.Helper()
+	known := c.checkKnown(t, maxCrashes, began)
+	before, _ := sound.share(began.Add(-time.Second), began)
+	after, sent := sound.share(known.Add(2*contactTime), end.Add(-time.Second))
+	t.Logf("%.2f of the sound requests were served before and %.2f of %d after the first crashes; answers by status: %v", before, after, sent, sound.statuses)
+	if after < before/2 {
+		t.Errorf("%.2f of the sound requests were served, want half of %.2f", after, before)
+	}
+}
+
+// checkKnown checks that hardly any request reached a server later than contactTime after the given number
+// of servers had ended by its cause. It returns when that many had ended by each cause.
+func (c *crashingSite) checkKnown(t *testing.T, ends int, began time.Time) time.Time {
 	t.Helper()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := began
-	for _, part := range c.badParts {
-		crashes := c.crashes[part]
-		t.Logf("%d servers ended under %s, %d requests with it reached servers", len(crashes), part, len(c.arrivals[part]))
+	for _, cause := range c.causes {
+		crashes := c.crashes[cause]
+		t.Logf("%d servers ended under %s, %d requests with it reached servers", len(crashes), cause, len(c.arrivals[cause]))
 		if len(crashes) == 0 {
-			t.Errorf("no server ended under %s: the test proves nothing", part)
+			t.Errorf("no server ended under %s: the test proves nothing", cause)
 			continue
 		}
-		last := crashes[min(len(crashes), maxCrashes)-1]
+		last := crashes[min(len(crashes), ends)-1]
 		if last.After(known) {
 			known = last
 		}
 		later := 0
-		for _, at := range c.arrivals[part] {
+		for _, at := range c.arrivals[cause] {
 			if at.After(last.Add(contactTime)) {
 				later++
 			}
 		}
-		if len(crashes) >= maxCrashes && later > maxLaterRequests {
-			t.Errorf("%d requests with %s reached servers later than %v after the fifth had ended", later, part, contactTime)
+		if len(crashes) >= ends && later > maxLaterRequests {
+			t.Errorf("%d requests with %s reached servers later than %v after %d had ended", later, cause, contactTime, ends)
 		}
 	}
-	before, _ := sound.share(began.Add(-time.Second), began)
-	after, sent := sound.share(known.Add(2*contactTime), end.Add(-time.Second))
-	t.Logf("%.2f of the sound requests were served before and %.2f of %d after the first crashes; answers by status: %v", before, after, sent, sound.statuses)
-	if after < before/2 {
-		t.Errorf("%.2f of the sound requests were served, want half of %.2f", after, before)
-	}
+	return known
 }
 
 // Servers end for other reasons, some at once and with requests that they have not begun to answer, while
