Check a server at once after an answer that broke off midway

Cause: after an answer that had begun, its server was checked only if another one had just ended, so that nobody saw the first ends unless another request waited at the same server.

Two servers a second are now checked at once: when a group breaks, the connections of the rank that has ended break first.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,7 +91,7 @@
 	g.fleet.endAttempt(s.ID, a.serverOutcome, clock.Now()-began, clock.Now())
 	switch {
 	case outcome == broken && a.events >= soundEvents:
-		go g.checkOutage(t, s.Server)
+		go g.checkBegun(t, s.Server)
 	case outcome == broken:
 		g.checkEnd(t, s.Server)
 	case a.isWhole && a.serverOutcome == outcomeServed:
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -28,6 +28,10 @@
 type endProber struct {
 	mu     sync.Mutex
 	checks map[registry.Start]*endCheck
+	// begunCheckedAt is when servers were last checked at once after an answer that had begun, begunChecks
+	// how many since then.
+	begunCheckedAt time.Duration
+	begunChecks    int
 }
 
 // endCheck is the check of one server.
@@ -40,6 +44,24 @@
 
 func newEndProber() *endProber { return &endProber{checks: make(map[registry.Start]*endCheck)} }
 
+const (
+	// maxBegunChecks limits the servers that are checked at once after answers that had begun, in each
+	// begunCheckInterval.
+	maxBegunChecks     = 2
+	begunCheckInterval = time.Second
+)
+
+// takeBegunCheck reports whether another server may be checked at once after an answer that had begun.
+func (p *endProber) takeBegunCheck(now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now-p.begunCheckedAt >= begunCheckInterval {
+		p.begunCheckedAt, p.begunChecks = now, 0
+	}
+	p.begunChecks++
+	return p.begunChecks <= maxBegunChecks
+}
+
 // start returns the check of a server, and starts one unless one is under way.
 func (p *endProber) start(s registry.Server) *endCheck {
 	key := registry.Start{ID: s.ID, StartedAtUnixMs: s.StartedAtUnixMs}
@@ -128,16 +150,23 @@
 	}
 }
 
-// checkOutage checks whether the server of a broken attempt has ended while its answer was under way, if
-// another server has ended at about that time. Without that condition all entries would connect to all ranks
-// of a group whenever it breaks.
-func (g *Gateway) checkOutage(t *task, s registry.Server) {
-	select {
-	case <-time.After(endChecks[1]):
-	case <-g.stopped:
-		return
+// checkBegun checks whether the server of a broken attempt has ended while its answer was under way.
+//
+// When a group breaks, all entries would connect to all of its ranks. So only the first servers are checked
+// at once: the connections of a rank that has ended break before those of the others. The rest are checked
+// only if another server has ended at about that time.
+func (g *Gateway) checkBegun(t *task, s registry.Server) {
+	if !g.ends.takeBegunCheck(clock.Now()) {
+		select {
+		case <-time.After(endChecks[1]):
+		case <-g.stopped:
+			return
+		}
+		if !g.prompts.hasRecentEnd(clock.Now()) {
+			return
+		}
 	}
-	if !g.prompts.hasRecentEnd(clock.Now()) || !g.fleet.endsUnexpectedly(s) {
+	if !g.fleet.endsUnexpectedly(s) {
 		return
 	}
 	check := g.ends.start(s)
--- a/test/gateway_crashing_callers_test.go
+++ b/test/gateway_crashing_callers_test.go
@@ -97,4 +97,3 @@
 	}
 	return float64(served) / max(float64(sent), 1), sent
 }
-
--- a/test/gateway_crashing_part_test.go
+++ b/test/gateway_crashing_part_test.go
@@ -254,7 +254,7 @@
 // from 2 x contactTime after it.
 func (c *crashingSite) check(t *testing.T, sound *crashCaller, began, end time.Time) {
 	t.Helper()
-	known := c.checkKnown(t, maxCrashes, began)
+	known := c.checkKnown(t, maxCrashes, contactTime, began)
 	before, _ := sound.share(began.Add(-time.Second), began)
 	after, sent := sound.share(known.Add(2*contactTime), end.Add(-time.Second))
 	t.Logf("%.2f of the sound requests were served before and %.2f of %d after the first crashes; answers by status: %v", before, after, sent, sound.statuses)
@@ -263,9 +263,9 @@
 	}
 }
 
-// checkKnown checks that hardly any request reached a server later than contactTime after the given number
-// of servers had ended by its cause. It returns when that many had ended by each cause.
-func (c *crashingSite) checkKnown(t *testing.T, ends int, began time.Time) time.Time {
+// checkKnown checks that hardly any request reached a server later than within after the given number of
+// servers had ended by its cause. It returns when that many had ended by each cause.
+func (c *crashingSite) checkKnown(t *testing.T, ends int, within time.Duration, began time.Time) time.Time {
 	t.Helper()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -283,12 +283,12 @@
 		}
 		later := 0
 		for _, at := range c.arrivals[cause] {
-			if at.After(last.Add(contactTime)) {
+			if at.After(last.Add(within)) {
 				later++
 			}
 		}
 		if len(crashes) >= ends && later > maxLaterRequests {
-			t.Errorf("%d requests with %s reached servers later than %v after %d had ended", later, cause, contactTime, ends)
+			t.Errorf("%d requests with %s reached servers later than %v after %d had ended", later, cause, within, ends)
 		}
 	}
 	return known
