Want a whole answer as the contrast to a request that may end servers

Found by reading, with a test that failed first: where all callers of a service send the same request and six servers end at once, the first answers that have begun again counted as contrast, while nothing but a whole answer can prove the request sound: it was refused at all entries. Narrow parts now need a whole answer of the service, also for their trial.

--- a/decide/quarantine/evidence.go
+++ b/decide/quarantine/evidence.go
@@ -153,10 +153,9 @@
 // shared parts of the request sound, and the narrow ones if the answer is whole. An answer that had only begun
 // would not prove any: it may have been cut off by the end of its server.
 func (t *Tracker) RecordSound(service string, parts []Part, isWhole bool, now time.Duration) {
-	before, wasSound := t.soundAt[service]
-	t.soundAt[service] = now
-	if n := len(t.ends); n > 0 && (!wasSound || before <= t.ends[n-1].at) {
-		t.isChanged = t.isChanged || len(t.suspects) > 0
+	t.recordContrast(t.begunAt, service, now)
+	if isWhole {
+		t.recordContrast(t.wholeAt, service, now)
 	}
 	for _, p := range parts {
 		if p.Scope.isNarrow() && !isWhole {
@@ -166,6 +165,15 @@
 	}
 }
 
+// recordContrast records the time of an answer. Only the first one after an end changes a verdict.
+func (t *Tracker) recordContrast(at map[string]time.Duration, service string, now time.Duration) {
+	before, ok := at[service]
+	at[service] = now
+	if n := len(t.ends); n > 0 && (!ok || before <= t.ends[n-1].at) {
+		t.isChanged = t.isChanged || len(t.suspects) > 0
+	}
+}
+
 // HearSound records that another entry has proven a part sound, age ago.
 func (t *Tracker) HearSound(id string, age, now time.Duration) { t.prove(Part{ID: id}, now-age, now) }
 
--- a/decide/quarantine/narrow_test.go
+++ b/decide/quarantine/narrow_test.go
@@ -12,6 +12,12 @@
 	return append(shared(sharedIDs...), Part{ID: last, Scope: Session}, Part{ID: digest, Scope: Whole})
 }
 
+// whole has an entry pass on a whole answer with these shared parts in its prompt.
+func (w *world) whole(entry int, parts ...string) {
+	w.pass(50 * msec)
+	w.entries[entry].RecordSound(service, shared(parts...), true, w.now)
+}
+
 func (w *world) endWith(entry int, parts []Part) {
 	w.entries[entry].RecordEnd(w.server(), service, parts, false, w.now)
 }
@@ -32,7 +38,7 @@
 	w.endWith(1, repeated)
 	w.pass(500 * msec)
 	w.checkQuarantined()
-	w.sound(2, "first")
+	w.whole(2, "first")
 	w.pass(200 * msec)
 	w.checkQuarantined("digest")
 	for _, parts := range [][]Part{request("other", "own", "first", "topic"), request("other", "last", "first", "topic")} {
@@ -48,7 +54,7 @@
 	for i, digest := range []string{"digest", "digest", "other"} {
 		w.endWith(i%2, request(digest, "last", "first"))
 		w.pass(600 * msec)
-		w.sound(0, "first")
+		w.whole(0, "first")
 		w.pass(600 * msec)
 	}
 	w.checkQuarantined("digest", "last")
@@ -60,7 +66,7 @@
 	for i := range 4 {
 		w.endWith(i%2, request(fmt.Sprint("digest", i/2), fmt.Sprint("last", i/2), "first", bad))
 		w.pass(600 * msec)
-		w.sound(0, "first")
+		w.whole(0, "first")
 		w.pass(600 * msec)
 	}
 	w.checkQuarantined(bad, "digest0")
@@ -79,7 +85,7 @@
 			w.entries[i].RecordEnd(w.server(), service, request("digest"+n, "last"+n, "first"), true, w.now)
 		}
 		w.pass(400 * msec)
-		w.sound(1, "first")
+		w.whole(1, "first")
 		w.pass(600 * msec)
 		w.checkQuarantined()
 	}
@@ -89,9 +95,9 @@
 func TestEntriesTakeTurnsWithANarrowPart(t *testing.T) {
 	w := newWorld(t, 16)
 	repeated := request("digest", "last", "first")
-	w.sound(0, "first")
+	w.whole(0, "first")
 	w.endWith(0, repeated)
-	w.sound(1, "first")
+	w.whole(1, "first")
 	for _, step := range []struct {
 		at       time.Duration
 		min, max int
@@ -118,7 +124,7 @@
 	server := w.server()
 	w.entries[0].RecordEnd(server, service, begun, true, w.now)
 	w.entries[0].RecordEnd(server, service, waiting, false, w.now)
-	w.sound(1, "first")
+	w.whole(1, "first")
 	w.pass(50 * msec)
 	if !w.maySend(0, begun) || w.maySend(1, begun) {
 		t.Error("the entry that had the request does not go on, or another one tries it too")
@@ -136,7 +142,7 @@
 		w.entries[i].RecordSound(service, repeated, false, w.now)
 		w.entries[i].RecordEnd(w.server(), service, repeated, true, w.now)
 		w.pass(600 * msec)
-		w.sound(i, "first")
+		w.whole(i, "first")
 		w.pass(100 * msec)
 	}
 	w.checkQuarantined("digest")
@@ -148,7 +154,7 @@
 	for i := range 20 {
 		w.endWith(0, request(fmt.Sprint("digest", i), fmt.Sprint("last", i), "first"))
 	}
-	w.sound(0, "first")
+	w.whole(0, "first")
 	w.pass(4 * time.Second)
 	for range 4 {
 		for i, e := range w.entries {
@@ -231,3 +237,27 @@
 		})
 	}
 }
+
+// Guards against a request that all callers of a service send being refused after an outage, since the first
+// answers to it have begun and none is whole.
+func TestTheOnlyRequestOfAServiceIsNotBlamed(t *testing.T) {
+	w := newWorld(t, 3)
+	only := request("digest", "last", "first")
+	w.entries[0].RecordSound(service, only, true, w.now)
+	w.pass(time.Second)
+	for i := range 6 {
+		w.endWith(i%3, only)
+	}
+	for range 20 {
+		w.pass(50 * msec)
+		w.entries[1].RecordSound(service, only, false, w.now)
+		w.checkQuarantined()
+	}
+	w.entries[1].RecordSound(service, only, true, w.now)
+	w.pass(100 * msec)
+	for i := range w.entries {
+		if !w.maySend(i, only) {
+			t.Errorf("entry %d holds back a request that was answered", i)
+		}
+	}
+}
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -4,9 +4,9 @@
 // Each end of a server is evidence against the parts of the requests that were there: shared parts of those
 // that it had not begun to answer, and narrow parts, which hardly any other request has, of all. A shared
 // part is proven sound by an answer that gets past its beginning, a narrow one by a whole answer. A part is
-// quarantined once several servers have ended under it, none has answered a request with it, and answers
-// without it have begun on the same service meanwhile: when servers end for another reason, the parts that all
-// requests share have no such contrast. If the evidence fits several parts, the narrowest is quarantined,
+// quarantined once several servers have ended under it, none has proven it sound, and the same service has given
+// answers meanwhile that would have: when servers end for another reason, the parts that all requests share have
+// no such contrast. If the evidence fits several parts, the narrowest is quarantined,
 // which keeps the fewest requests from being served. The wider ones follow if servers go on ending without it.
 //
 // Before that, a part under suspicion is tried with one request at a time at each entry, a narrow one by few
@@ -105,8 +105,8 @@
 	// proofs and narrowProofs are the parts that are known as sound. Narrow ones have a log of their own, since
 	// each request brings new ones.
 	proofs, narrowProofs proofLog
-	// soundAt is when an answer of each service last got past its beginning here.
-	soundAt map[string]time.Duration
+	// begunAt and wholeAt are when an answer of each service last got past its beginning here, and was whole.
+	begunAt, wholeAt map[string]time.Duration
 	// ends are the ends of servers, the oldest first.
 	ends []*end
 	// suspects are the parts under suspicion, with the latest end that counts against each.
@@ -130,7 +130,8 @@
 func New(self string, cfg Config) *Tracker {
 	return &Tracker{
 		cfg: cfg.withDefaults(), self: self, entries: []string{self},
-		soundAt:        make(map[string]time.Duration),
+		begunAt:        make(map[string]time.Duration),
+		wholeAt:        make(map[string]time.Duration),
 		suspects:       make(map[string]suspicion),
 		quarantines:    make(map[string]*quarantine),
 		trials:         make(map[string]bool),
--- a/decide/quarantine/trial.go
+++ b/decide/quarantine/trial.go
@@ -119,7 +119,7 @@
 // trialWait returns the time until this entry may try a part under suspicion; zero or less for now.
 func (t *Tracker) trialWait(part string, s suspicion, suspects int, now time.Duration) time.Duration {
 	delay := t.cfg.MaxTrialDelay
-	if t.wasSoundSince(s.service, s.lastEnd) {
+	if t.hasContrast(s.scope, s.service, s.lastEnd) {
 		delay = t.cfg.TrialDelay
 	}
 	delay += time.Duration(suspects-1) * t.cfg.TrialDelay
--- a/decide/quarantine/verdict.go
+++ b/decide/quarantine/verdict.go
@@ -158,7 +158,7 @@
 // isGuilty reports whether the evidence is enough to quarantine a part.
 func (t *Tracker) isGuilty(part string, ev *evidence, all map[string]*evidence) bool {
 	score := t.score(len(ev.settled), ev.wasProven)
-	if score < t.cfg.MinEnds || !t.wasSoundSince(ev.settled[0].service, ev.settled[0].at) {
+	if score < t.cfg.MinEnds || !t.hasContrast(ev.scope, ev.settled[0].service, ev.settled[0].at) {
 		return false
 	}
 	hasRival := func(scopes func(Scope) bool) bool { return t.hasRival(part, ev, all, scopes) }
@@ -168,10 +168,14 @@
 	return score >= t.cfg.MinTiedEnds || !hasRival(func(s Scope) bool { return s == ev.scope })
 }
 
-// wasSoundSince reports whether an answer of a service has got past its beginning here since a time. The time
-// may be negative, before this process started.
-func (t *Tracker) wasSoundSince(service string, since time.Duration) bool {
-	at, ok := t.soundAt[service]
+// hasContrast reports whether a service has given an answer here, since a time, that proves parts of a scope
+// sound. The time may be negative, before this process started.
+func (t *Tracker) hasContrast(scope Scope, service string, since time.Duration) bool {
+	answers := t.begunAt
+	if scope.isNarrow() {
+		answers = t.wholeAt
+	}
+	at, ok := answers[service]
 	return ok && at > since
 }
 
