Find parts of prompts that end servers in the middle of answers

Cause: an answer that had begun was no evidence against the shared parts of its prompt, and its second event proved them sound. The first events of an answer are what clears the parts that all requests share soon after an outage, so that this stays; beside it each shared part now has an ID as one that ends servers midway, with answers under way as evidence and whole answers as proof. Requests are held back for it only if the part was not proven lately.

--- a/decide/quarantine/evidence.go
+++ b/decide/quarantine/evidence.go
@@ -19,8 +19,8 @@
 type End struct {
 	Server  ServerStart
 	Service string
-	// Parts are the narrow parts of all requests at the server, and the shared ones of those that it had not
-	// begun to answer.
+	// Parts are the narrow parts of all requests at the server, the shared ones of those that it had not begun
+	// to answer, and the midway ones of the others.
 	Parts []Part
 	// AllBegun means that the answers to all requests were under way.
 	AllBegun bool
@@ -70,8 +70,8 @@
 	if e.own == nil {
 		e.own = &ownRequests{allBegun: true}
 	}
+	parts = mayHaveEnded(parts, hasBegun)
 	if hasBegun {
-		parts = narrowOf(parts)
 		for _, p := range parts {
 			e.own.begun = append(e.own.begun, p.ID)
 		}
@@ -84,16 +84,6 @@
 	t.addToEnd(e, parts, hasBegun, now)
 }
 
-func narrowOf(parts []Part) []Part {
-	var narrow []Part
-	for _, p := range parts {
-		if p.Scope.isNarrow() {
-			narrow = append(narrow, p)
-		}
-	}
-	return narrow
-}
-
 // HearEnd records an end that another entry has reported.
 func (t *Tracker) HearEnd(reported End, now time.Duration) {
 	if e := t.endOf(reported.Server, reported.Service, now-reported.Age, now); e != nil {
@@ -150,15 +140,18 @@
 }
 
 // RecordSound records that an answer of a service has got past its beginning, or is whole. That proves the
-// shared parts of the request sound, and the narrow ones if the answer is whole. An answer that had only begun
+// shared parts of the request sound, and the others if the answer is whole. An answer that had only begun
 // would not prove any: it may have been cut off by the end of its server.
 func (t *Tracker) RecordSound(service string, parts []Part, isWhole bool, now time.Duration) {
 	t.recordContrast(t.begunAt, service, now)
 	if isWhole {
 		t.recordContrast(t.wholeAt, service, now)
+		if _, ok := t.firstWholeAt[service]; !ok {
+			t.firstWholeAt[service] = now
+		}
 	}
 	for _, p := range parts {
-		if p.Scope.isNarrow() && !isWhole {
+		if p.Scope.endsMidway() && !isWhole {
 			continue
 		}
 		t.prove(p, now, now)
@@ -181,8 +174,8 @@
 	if before, ok := t.provenAt(p.ID); ok && before >= at {
 		return
 	}
-	if p.Scope.isNarrow() {
-		t.narrowProofs.set(p.ID, at, t.cfg.MaxProofs/2)
+	if p.Scope.endsMidway() {
+		t.wholeProofs.set(p.ID, at, t.cfg.MaxProofs/2)
 	} else {
 		t.proofs.set(p.ID, at, t.cfg.MaxProofs/2)
 	}
@@ -206,9 +199,9 @@
 // provenAt returns when a part was last proven sound.
 func (t *Tracker) provenAt(id string) (time.Duration, bool) {
 	at, ok := t.proofs.at(id)
-	narrowAt, narrowOK := t.narrowProofs.at(id)
-	if !ok || narrowOK && narrowAt > at {
-		return narrowAt, narrowOK
+	wholeAt, isWhole := t.wholeProofs.at(id)
+	if !ok || isWhole && wholeAt > at {
+		return wholeAt, isWhole
 	}
 	return at, ok
 }
--- a/decide/quarantine/part.go
+++ b/decide/quarantine/part.go
@@ -11,16 +11,38 @@
 type Scope uint8
 
 const (
-	// Shared is a part of the prompt that requests of many callers may have.
+	// Shared is a part of the prompt that requests of many callers may have, and that may end a server as it
+	// begins to answer.
 	Shared Scope = iota
+	// Midway is such a part that may end a server in the middle of an answer. It has an ID of its own.
+	Midway
 	// Session is the last part of the prompt, that of the request or of its session.
 	Session
 	// Whole is the whole request. Only repeats of it have that part in common.
 	Whole
 )
 
+// MidwayID returns the ID by which a shared part is known as one that ends servers in the middle of answers.
+func MidwayID(id string) string { return "midway:" + id }
+
 // isNarrow reports whether hardly any other request has the part.
-func (s Scope) isNarrow() bool { return s != Shared }
+func (s Scope) isNarrow() bool { return s == Session || s == Whole }
+
+// endsMidway reports whether the part may end a server whose answer is under way, so that nothing but a whole
+// answer proves it sound.
+func (s Scope) endsMidway() bool { return s != Shared }
+
+// mayHaveEnded returns those parts of a request that may have ended a server. hasBegun means that its answer
+// had got past its beginning.
+func mayHaveEnded(parts []Part, hasBegun bool) []Part {
+	var suspect []Part
+	for _, p := range parts {
+		if p.Scope.isNarrow() || hasBegun == (p.Scope == Midway) {
+			suspect = append(suspect, p)
+		}
+	}
+	return suspect
+}
 
 // addPart adds a part to a list without repeats. Of two scopes the wider one stands.
 func addPart(parts []Part, p Part) []Part {
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -2,8 +2,9 @@
 // answers a request with it. It finds the part and keeps requests with it from the servers.
 //
 // Each end of a server is evidence against the parts of the requests that were there: shared parts of those
-// that it had not begun to answer, and narrow parts, which hardly any other request has, of all. A shared
-// part is proven sound by an answer that gets past its beginning, a narrow one by a whole answer. A part is
+// that it had not begun to answer, midway ones of those that it had, and narrow parts, which hardly any other
+// request has, of all. A shared part is proven sound by an answer that gets past its beginning, the others by a
+// whole answer. A part is
 // quarantined once several servers have ended under it, none has proven it sound, and the same service has given
 // answers meanwhile that would have: when servers end for another reason, the parts that all requests share have
 // no such contrast. If the evidence fits several parts, the narrowest is quarantined,
@@ -57,7 +58,7 @@
 	TrialSpacing time.Duration
 	// ReportTime is how long news is told to other entries. Default 3 s: many heartbeats.
 	ReportTime time.Duration
-	// MaxProofs limits the shared parts that are remembered as sound, and the narrow ones; MaxEnds limits the
+	// MaxProofs limits the shared parts that are remembered as sound, and the others; MaxEnds limits the
 	// ends and MaxQuarantines the quarantines. Defaults 8192, 32 and 64.
 	MaxProofs, MaxEnds, MaxQuarantines int
 }
@@ -102,11 +103,13 @@
 	// entries are the IPs of the entries that may be running, this one included.
 	entries []string
 
-	// proofs and narrowProofs are the parts that are known as sound. Narrow ones have a log of their own, since
-	// each request brings new ones.
-	proofs, narrowProofs proofLog
+	// proofs are the shared parts that are known as sound, wholeProofs those that take a whole answer. These have
+	// a log of their own, since each request brings new ones.
+	proofs, wholeProofs proofLog
 	// begunAt and wholeAt are when an answer of each service last got past its beginning here, and was whole.
 	begunAt, wholeAt map[string]time.Duration
+	// firstWholeAt is when the first answer of each service was whole here.
+	firstWholeAt map[string]time.Duration
 	// ends are the ends of servers, the oldest first.
 	ends []*end
 	// suspects are the parts under suspicion, with the latest end that counts against each.
@@ -132,6 +135,7 @@
 		cfg: cfg.withDefaults(), self: self, entries: []string{self},
 		begunAt:        make(map[string]time.Duration),
 		wholeAt:        make(map[string]time.Duration),
+		firstWholeAt:   make(map[string]time.Duration),
 		suspects:       make(map[string]suspicion),
 		quarantines:    make(map[string]*quarantine),
 		trials:         make(map[string]bool),
--- a/decide/quarantine/report.go
+++ b/decide/quarantine/report.go
@@ -43,7 +43,7 @@
 	return ends
 }
 
-// openParts returns the parts that an end still speaks against. Narrow parts under a single end are left out:
+// openParts returns the parts that an end still speaks against. All but shared parts are left out under a single end:
 // most requests that were at a server when it ended are never answered, so that there would be something to
 // tell of after each end.
 func (t *Tracker) openParts(e *end) []Part {
@@ -52,7 +52,7 @@
 		if t.quarantines[p.ID] != nil {
 			return nil
 		}
-		if t.isProvenSince(p.ID, e.at) || p.Scope.isNarrow() && t.suspects[p.ID].ends < 2 {
+		if t.isProvenSince(p.ID, e.at) || p.Scope.endsMidway() && t.suspects[p.ID].ends < 2 {
 			continue
 		}
 		open = append(open, p)
@@ -61,7 +61,7 @@
 }
 
 // reportOf returns the report of an end with some parts, those that have not been proven for longest first, and
-// narrow ones before shared ones.
+// narrower ones before wider ones.
 func (t *Tracker) reportOf(e *end, parts []Part, allBegun bool, now time.Duration) End {
 	parts = slices.Clone(parts)
 	slices.SortStableFunc(parts, func(a, b Part) int {
--- a/decide/quarantine/trial.go
+++ b/decide/quarantine/trial.go
@@ -78,21 +78,21 @@
 	return isSuspect || t.quarantines[part] != nil
 }
 
-// countSuspects returns the number of parts under suspicion. The narrow ones count as one: they are tried
-// together.
+// countSuspects returns the number of parts under suspicion. Those other than shared ones count as
+// one: they are tried together.
 func (t *Tracker) countSuspects(parts []Part) int {
-	shared, narrow := 0, 0
+	shared, others := 0, 0
 	for _, p := range parts {
 		s, isSuspect := t.suspects[p.ID]
 		switch {
 		case !isSuspect:
-		case s.scope.isNarrow():
-			narrow = 1
+		case s.scope.endsMidway():
+			others = 1
 		default:
 			shared++
 		}
 	}
-	return shared + narrow
+	return shared + others
 }
 
 // check decides whether a part may be sent, if only as a trial, in a request with a number of suspects.
@@ -123,7 +123,7 @@
 		delay = t.cfg.TrialDelay
 	}
 	delay += time.Duration(suspects-1) * t.cfg.TrialDelay
-	if !s.scope.isNarrow() {
+	if !s.scope.endsMidway() {
 		return s.lastEnd + delay - now
 	}
 	if s.ends == 1 && s.last.own.has(part) {
@@ -138,7 +138,7 @@
 	return t.turnWait(s.last, now-s.lastEnd-delay)
 }
 
-// retryDelay returns the time after the only end under a narrow part until the entry that had the request may
+// retryDelay returns the time after the only end under a part until the entry that had the request may
 // send it again. An answer that was under way goes on at once: few requests end servers there, and a pause
 // would make it late.
 func (t *Tracker) retryDelay(part string, s suspicion) time.Duration {
@@ -148,7 +148,7 @@
 	return t.cfg.RetryDelay
 }
 
-// turnWait returns the time until this entry may try narrow parts whose latest end is e, and which some entry
+// turnWait returns the time until this entry may try parts whose latest end is e, and which some entry
 // has been allowed to try for the given time. If all of them tried them at once, as many servers could end.
 // The order of the entries depends on the end, since it has to be the same for all parts of a request.
 func (t *Tracker) turnWait(e *end, since time.Duration) time.Duration {
--- a/decide/quarantine/verdict.go
+++ b/decide/quarantine/verdict.go
@@ -103,15 +103,15 @@
 }
 
 // isOutage reports whether a server ended at about the same time while all of its answers were under way:
-// then the cause lies elsewhere, such as in a loss of power. A narrow part may end servers with their answers
-// under way; there a server counts that ended without the part.
+// then the cause lies elsewhere, such as in a loss of power. A part that may end servers with
+// their answers under way is cleared by a server that ended without it.
 func (t *Tracker) isOutage(e *end, p Part, now time.Duration) bool {
 	return slices.ContainsFunc(t.ends, func(other *end) bool {
 		if !other.allBegun || now-other.at < t.cfg.SettleTime || (other.at-e.at).Abs() > t.cfg.OutageWindow {
 			return false
 		}
 		_, hasPart := other.partOf(p.ID)
-		return !p.Scope.isNarrow() || !hasPart
+		return !p.Scope.endsMidway() || !hasPart
 	})
 }
 
@@ -148,13 +148,21 @@
 	}
 	clear(t.suspects)
 	for part, ev := range all {
-		if t.score(len(ev.ends), ev.wasProven) > 0 {
+		if t.score(len(ev.ends), ev.wasProven) > 0 && t.mayHoldBack(ev) {
 			last := ev.ends[len(ev.ends)-1]
 			t.suspects[part] = suspicion{service: last.service, lastEnd: last.at, scope: ev.scope, ends: len(ev.ends), last: last}
 		}
 	}
 }
 
+// mayHoldBack reports whether requests with a part may be held back before there is enough evidence. With a
+// midway part that all requests share, that would stop a service until an answer is whole: only parts that have
+// not been proven lately although whole answers came are held back.
+func (t *Tracker) mayHoldBack(ev *evidence) bool {
+	first, ok := t.firstWholeAt[ev.ends[0].service]
+	return ev.scope != Midway || !ev.wasProven && ok && first < ev.ends[0].at
+}
+
 // isGuilty reports whether the evidence is enough to quarantine a part.
 func (t *Tracker) isGuilty(part string, ev *evidence, all map[string]*evidence) bool {
 	score := t.score(len(ev.settled), ev.wasProven)
@@ -172,7 +180,7 @@
 // sound. The time may be negative, before this process started.
 func (t *Tracker) hasContrast(scope Scope, service string, since time.Duration) bool {
 	answers := t.begunAt
-	if scope.isNarrow() {
+	if scope.endsMidway() {
 		answers = t.wholeAt
 	}
 	at, ok := answers[service]
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -46,9 +46,9 @@
 
 // partsOf returns what in a request may end backend servers: the parts of its prompt, and the whole request.
 func partsOf(t *task) []quarantine.Part {
-	parts := make([]quarantine.Part, 0, len(t.SharedParts)+2)
+	parts := make([]quarantine.Part, 0, 2*len(t.SharedParts)+2)
 	for _, id := range t.SharedParts {
-		parts = append(parts, quarantine.Part{ID: id})
+		parts = append(parts, quarantine.Part{ID: id}, quarantine.Part{ID: quarantine.MidwayID(id), Scope: quarantine.Midway})
 	}
 	if t.LastPart != "" {
 		parts = append(parts, quarantine.Part{ID: t.LastPart, Scope: quarantine.Session})
@@ -175,6 +175,8 @@
 		switch p.Scope {
 		case quarantine.Shared:
 			r.Parts = append(r.Parts, p.ID)
+		case quarantine.Midway:
+			r.MidwayParts = append(r.MidwayParts, p.ID)
 		case quarantine.Session:
 			r.SessionParts = append(r.SessionParts, p.ID)
 		case quarantine.Whole:
@@ -190,7 +192,9 @@
 		Server:  quarantine.ServerStart{Hash: r.GetServer(), StartedAtUnixMs: r.GetStartedAtUnixMs()},
 		Service: r.GetService(), AllBegun: r.GetAllBegun(), Age: millis(r.GetAgeMs()),
 	}
-	for scope, ids := range [][]string{quarantine.Shared: r.GetParts(), quarantine.Session: r.GetSessionParts(), quarantine.Whole: r.GetRequests()} {
+	for scope, ids := range [][]string{
+		quarantine.Shared: r.GetParts(), quarantine.Midway: r.GetMidwayParts(), quarantine.Session: r.GetSessionParts(), quarantine.Whole: r.GetRequests(),
+	} {
 		for _, id := range ids {
 			e.Parts = append(e.Parts, quarantine.Part{ID: id, Scope: quarantine.Scope(scope)})
 		}
--- a/test/gateway_crashing_part_test.go
+++ b/test/gateway_crashing_part_test.go
@@ -194,12 +194,15 @@
 		interval time.Duration
 		// disturb injects faults meanwhile.
 		disturb func(c *crashingSite)
-		inShort bool
+		// eventsBefore is the number of events that an answer brings before its server ends.
+		eventsBefore int
+		inShort      bool
 	}{
 		{name: "one part", badParts: []string{"bad"}, interval: 60 * time.Millisecond},
 		{name: "each entry sees it now and then", badParts: []string{"bad"}, interval: 500 * time.Millisecond},
 		{name: "all answers break off", lockStep: true, badParts: []string{"bad"}, interval: 60 * time.Millisecond, inShort: true},
 		{name: "answers without a length", unframed: true, badParts: []string{"bad"}, interval: 60 * time.Millisecond, inShort: true},
+		{name: "one part midway", badParts: []string{"bad"}, interval: 60 * time.Millisecond, eventsBefore: 3},
 		{name: "two parts", badParts: []string{"bad", "evil"}, interval: 60 * time.Millisecond},
 		{name: "entries restart in turn", badParts: []string{"bad"}, interval: 60 * time.Millisecond, disturb: func(c *crashingSite) {
 			for _, g := range c.gateways {
@@ -223,6 +226,7 @@
 				skipIfShort(t)
 			}
 			c := startCrashingSite(t, 4, test.lockStep, test.unframed, test.badParts...)
+			c.eventsBefore = test.eventsBefore
 			sound, stopSound := c.startCrashCaller("sound", 15*time.Millisecond, func(n int) string {
 				return fmt.Sprintf("first:40,topic%d:100", n%3)
 			})
