Repeat one request that ends engines in the soak

Each run of the site soak now also sends one request again and again under new IDs; engines that begin to answer it end.

--- a/test/site_soak_callers_test.go
+++ b/test/site_soak_callers_test.go
@@ -76,12 +76,12 @@
 
 // readStream reads a stream through one gateway.
 func readStream(client *http.Client, address, path string) streamResult {
-	return readStreamOf(client, address, path, fmt.Sprintf("first:40,topic%d:100,%s:20", len(path)%3, path))
+	return readStreamOf(client, address, path, path, fmt.Sprintf("first:40,topic%d:100,%s:20", len(path)%3, path))
 }
 
-// readStreamOf is readStream with the parts of the prompt.
-func readStreamOf(client *http.Client, address, path, prompt string) streamResult {
-	req, err := fakeplatform.NewRequest(address, "/draft/"+path, path)
+// readStreamOf is readStream with an ID and the parts of the prompt.
+func readStreamOf(client *http.Client, address, path, id, prompt string) streamResult {
+	req, err := fakeplatform.NewRequest(address, "/draft/"+path, id)
 	if err != nil {
 		return streamResult{}
 	}
--- a/test/site_soak_prompts_test.go
+++ b/test/site_soak_prompts_test.go
@@ -13,11 +13,14 @@
 const (
 	// crashingPart is the part of a prompt that ends engines in the soak.
 	crashingPart = "crash"
+	// deadlyPath is the path of a request that ends engines and that callers repeat under new IDs.
+	deadlyPath = "deadly"
 	// crashingInterval is the time between two requests with it.
 	crashingInterval = 150 * time.Millisecond
 )
 
-// crashingPrompts ends engines of a soak that begin to answer a request with crashingPart in its prompt.
+// crashingPrompts ends engines of a soak that begin to answer a request with crashingPart in its prompt, or the
+// one at deadlyPath.
 type crashingPrompts struct {
 	soak  *siteSoak
 	links []*harness.Forwarder
@@ -26,33 +29,49 @@
 	// restarts counts the starts of each engine after the first, isDown says which have ended.
 	restarts []int
 	isDown   []bool
-	// ends and runs are when engines ended and when requests with the part ran.
+	// causes are crashingPart and deadlyPath.
+	causes map[string]*crashes
+}
+
+// crashes are the ends of engines by one cause.
+type crashes struct {
+	// known is the number of ends after which entries must know the cause.
+	known int
+	// ends and runs are when engines ended and when requests with the cause ran.
 	ends, runs []time.Time
 }
 
 // newCrashingPrompts lets the engines of a soak, each behind its link, end under the part.
 func newCrashingPrompts(s *siteSoak, links []*harness.Forwarder) *crashingPrompts {
-	c := &crashingPrompts{soak: s, links: links, restarts: make([]int, len(links)), isDown: make([]bool, len(links))}
+	c := &crashingPrompts{
+		soak: s, links: links, restarts: make([]int, len(links)), isDown: make([]bool, len(links)),
+		causes: map[string]*crashes{crashingPart: {known: maxCrashes}, deadlyPath: {known: maxRequestCrashes}},
+	}
 	s.group.OnBegin(func(rank int, r *http.Request) bool {
-		if !strings.Contains(r.Header.Get("Prompt-Prefix"), crashingPart+":") {
+		switch {
+		case r.URL.Path == "/draft/"+deadlyPath:
+			c.run(rank, deadlyPath)
+		case strings.Contains(r.Header.Get("Prompt-Prefix"), crashingPart+":"):
+			c.run(rank, crashingPart)
+		default:
 			return true
 		}
-		c.run(rank)
 		return false
 	})
 	return c
 }
 
-// run runs a request with the part at an engine, which ends. It is back after serverRestartTime.
-func (c *crashingPrompts) run(rank int) {
+// run runs a request with a cause at an engine, which ends. It is back after serverRestartTime.
+func (c *crashingPrompts) run(rank int, cause string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.runs = append(c.runs, time.Now())
+	by := c.causes[cause]
+	by.runs = append(by.runs, time.Now())
 	if c.isDown[rank] {
 		return
 	}
 	c.isDown[rank] = true
-	c.ends = append(c.ends, time.Now())
+	by.ends = append(by.ends, time.Now())
 	c.links[rank].EndProcess()
 	go func() {
 		c.soak.group.Crash(rank, serverRestartTime)
@@ -67,42 +86,49 @@
 	}()
 }
 
-// sendCrashingDrafts sends requests with the part to all gateways in turn.
+// sendCrashingDrafts sends requests with the part, and repeats of the one at deadlyPath, to all gateways in turn.
 func (s *siteSoak) sendCrashingDrafts() {
 	addresses := s.newAddressCache()
 	client := &http.Client{Transport: &http.Transport{}, Timeout: 8 * time.Second}
 	for n := 0; !isClosed(s.stop); n++ {
 		path := fmt.Sprintf("c%d", n)
 		address := addresses.pick()
+		if n%3 == 0 {
+			s.callers.Go(func() {
+				readStreamOf(client, address, deadlyPath, path, fmt.Sprintf("first:40,topic1:100,%s:20", deadlyPath))
+			})
+		}
 		s.callers.Go(func() {
-			readStreamOf(client, address, path, fmt.Sprintf("first:40,topic%d:100,%s:60,%s:20", n%3, crashingPart, path))
+			readStreamOf(client, address, path, path, fmt.Sprintf("first:40,topic%d:100,%s:60,%s:20", n%3, crashingPart, path))
 		})
 		time.Sleep(crashingInterval)
 	}
 }
 
-// checkCrashingPrompts checks that hardly any request with the part has run since the faults ended and five
-// engines had ended under it.
+// checkCrashingPrompts checks that hardly any request with a cause has run since the faults ended and enough
+// engines had ended by it.
 func (s *siteSoak) checkCrashingPrompts(calmSince time.Time) {
 	s.t.Helper()
 	c := s.prompts
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known := calmSince
-	if len(c.ends) >= maxCrashes && c.ends[maxCrashes-1].After(known) {
-		known = c.ends[maxCrashes-1]
-	}
-	later := 0
-	for _, at := range c.runs {
-		if at.After(known.Add(contactTime)) {
-			later++
+	for cause, by := range c.causes {
+		known := calmSince
+		if len(by.ends) >= by.known && by.ends[by.known-1].After(known) {
+			known = by.ends[by.known-1]
+		}
+		later := 0
+		for _, at := range by.runs {
+			if at.After(known.Add(contactTime)) {
+				later++
+			}
+		}
+		s.t.Logf("seed %d: %d engines ended by %s, %d requests with it ran, %d of them when it had to be known", s.seed, len(by.ends), cause, len(by.runs), later)
+		if len(by.ends) == 0 {
+			s.t.Errorf("seed %d: no engine ended by %s: the check proves nothing", s.seed, cause)
+		}
+		if len(by.ends) >= by.known && later > maxLaterRequests {
+			s.t.Errorf("seed %d: %d requests with %s reached engines later than %v after the faults and %d ends", s.seed, later, cause, contactTime, by.known)
 		}
-	}
-	s.t.Logf("seed %d: %d engines ended under a part of prompts, %d requests with it ran, %d of them when it had to be known", s.seed, len(c.ends), len(c.runs), later)
-	if len(c.ends) == 0 {
-		s.t.Errorf("seed %d: no engine ended under a part of prompts: the check proves nothing", s.seed)
-	}
-	if len(c.ends) >= maxCrashes && later > maxLaterRequests {
-		s.t.Errorf("seed %d: %d requests with a part under which engines had ended reached engines later than %v after the faults", s.seed, later, contactTime)
 	}
 }
