Give the view of a gateway a file, and the end of a change log one owner

No change of behaviour but two lines: a start logs whether the store is asked and why, and a refusing engine among several groups is logged, as one of a single group is. publishView and the view stand in view.go; the offset after the last change is kept by keyed.ChangeLog in place of two fields of the control state; a request that has just brought the placement table up to date does not compute the slots twice.

--- a/coord/keyed/changelog.go
+++ b/coord/keyed/changelog.go
@@ -15,9 +15,10 @@
 	// changedAt holds the offset of the last change of each key, deleted keys included.
 	changedAt map[string]int64
 	deleted   map[string]bool
-	// from is the offset from which on all changes are held; since means that there is one.
-	from    int64
-	hasFrom bool
+	// from is the offset from which on all changes are held; hasFrom means that there is one. end is the
+	// offset after the last change.
+	from, end int64
+	hasFrom   bool
 }
 
 // NewChangeLog returns an empty ChangeLog.
@@ -32,8 +33,12 @@
 	}
 }
 
+// End returns the offset after the last change; zero for none.
+func (l *ChangeLog) End() int64 { return l.end }
+
 // Record records a change.
 func (l *ChangeLog) Record(c Change) {
+	l.end = max(l.end, c.Offset+1)
 	l.changedAt[c.Key] = c.Offset
 	if !c.Deleted() {
 		delete(l.deleted, c.Key)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -13,7 +12,6 @@
 	"github.com/apricothub/apricothub/coord/peering"
 	"github.com/apricothub/apricothub/coord/registry"
 	"github.com/apricothub/apricothub/internal/clock"
-	"github.com/apricothub/apricothub/internal/experts"
 	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/internal/routing"
 	"github.com/apricothub/apricothub/platform"
@@ -31,28 +29,6 @@
 	maxReconcileInterval = 200 * time.Millisecond
 )
 
-// view is the state that requests are served by. It is immutable: the control goroutine replaces it
-// with a new one.
-type view struct {
-	// table is nil until the configuration is known.
-	table *routing.Table
-	// addresses are where callers may connect, of all entries that serve.
-	addresses []string
-	// entries is the number of live entries, this one included.
-	entries int
-	// ready means that this entry accepts new connections.
-	ready bool
-	// isCoordinator means that this entry is to coordinate the expert maps; engines are the engines
-	// that have experts.
-	isCoordinator bool
-	// takenOver means that another entry coordinates with a higher fence.
-	takenOver bool
-	engines   []experts.Engine
-	// configAt is when the configuration was last known to be the newest, serversAt when the
-	// registrations were.
-	configAt, serversAt time.Duration
-}
-
 // control owns the process's state: the configuration, the backend servers and the other entries.
 // Only its own goroutine accesses it.
 type control struct {
@@ -74,9 +50,6 @@
 	// operatorsAt and serversAt are when the records of a topic were last confirmed to be the
 	// newest.
 	operatorsAt, serversAt time.Duration
-	// operatorsChangedAt and serversChangedAt are the offsets after the last records that changed
-	// something.
-	operatorsChangedAt, serversChangedAt int64
 	// serversReadFailed means that the store did not answer the last read of registrations.
 	serversReadFailed bool
 	// changed means that the fleet must be updated, heartbeatDue that the heartbeat must be sent to
@@ -205,14 +178,10 @@
 
 func (c *control) applyChanges(topic string, changes []keyed.Change, now time.Duration) {
 	for _, change := range changes {
-		if topic == platform.TopicServers {
-			if !c.applyServerChange(change, now) {
-				continue
-			}
-			c.serversChangedAt = max(c.serversChangedAt, change.Offset+1)
-		} else {
+		if topic != platform.TopicServers {
 			c.applyOperatorChange(change)
-			c.operatorsChangedAt = max(c.operatorsChangedAt, change.Offset+1)
+		} else if !c.applyServerChange(change, now) {
+			continue
 		}
 		c.changeLog(topic).Record(change)
 		c.changed = true
@@ -326,23 +295,6 @@
 	c.sendHeartbeats(live, now)
 }
 
-// maxMembersWait is how long a new process waits at most for the list of entries, from the store or from
-// another entry, once it may ask the store. Three heartbeats of the others are enough to hear of each
-// entry: a heartbeat names eight.
-const maxMembersWait = 500 * time.Millisecond
-
-// servingTable returns the configuration to serve by, nil for none yet.
-//
-// When all entries are killed at once and start again, each would take itself for the only one, and
-// send servers with little capacity the retries and connections that all entries together may. So
-// an entry serves nothing until it knows which entries there may be.
-func (c *control) servingTable(now time.Duration) *routing.Table {
-	if !c.peers.MembersKnown() && now-c.startup.startedAt < c.startup.delay+maxMembersWait {
-		return nil
-	}
-	return c.table
-}
-
 // logPeerChanges logs the entries that are newly heard from, and those that have gone silent.
 func (c *control) logPeerChanges(live []*api.PeerBeat) {
 	same := len(live) == len(c.liveVMs)
@@ -368,45 +320,3 @@
 	}
 	c.liveVMs = liveVMs
 }
-
-// publishView publishes the view that requests are served by.
-func (c *control) publishView(live []*api.PeerBeat, now time.Duration) {
-	table := c.servingTable(now)
-	ready := table != nil && !c.g.leaving.Load() && c.g.fleet.hasUsableServer()
-	v := &view{
-		table: table, entries: len(live) + 1, ready: ready,
-		configAt: c.operatorsAt, serversAt: c.serversAt,
-	}
-	for _, b := range live {
-		if b.GetServing() {
-			v.addresses = append(v.addresses, b.GetCallersAddress())
-		}
-	}
-	self := &api.PeerBeat{
-		Ip: c.g.settings.IP, Capacity: capacityOf(c.g.settings), Serving: ready, Leaving: c.g.leaving.Load(), Fence: c.g.experts.Fence(),
-	}
-	v.isCoordinator = c.peers.Coordinates(self, c.g.settings.Bounds.RequireFencing, now)
-	for _, b := range live {
-		v.takenOver = v.takenOver || b.GetFence() > self.GetFence()
-	}
-	if table != nil && (v.isCoordinator || self.GetFence() != 0) {
-		v.engines = c.engines()
-	}
-	if ready {
-		v.addresses = append(v.addresses, c.g.settings.Listen.Callers)
-	}
-	old := c.g.view.Load()
-	if old == nil || old.ready != ready {
-		_ = level.Info(c.logger).Log("msg", "Readiness has changed.", "ready", ready, "config_known", table != nil,
-			"leaving", c.g.leaving.Load(), "servers_usable", c.g.fleet.hasUsableServer())
-		c.heartbeatDue = true
-	}
-	if old == nil || !slices.Equal(old.addresses, v.addresses) {
-		_ = level.Info(c.logger).Log("msg", "The entries that serve have changed.", "addresses", len(v.addresses), "live", v.entries)
-	}
-	c.g.view.Store(v)
-	if ready && !c.isStarted {
-		c.isStarted = true
-		close(c.g.started)
-	}
-}
--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -42,7 +42,7 @@
 func (c *control) chooseSuccessor(live []*api.PeerBeat, fence int64) {
 	successor := ""
 	if fence != 0 && c.g.settings.Bounds.RequireFencing {
-		successor = peering.SelectSuccessor(&api.PeerBeat{Ip: c.g.settings.IP, FailureDomain: c.g.settings.FailureDomain}, live, c.successor)
+		successor = peering.SelectSuccessor(c.self(c.g.view.Load().ready), live, c.successor)
 	}
 	if successor == c.successor {
 		return
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -91,7 +91,7 @@
 		Serving: c.g.view.Load().ready, Leaving: c.g.leaving.Load(), MembersKnown: c.peers.MembersKnown(), Relay: c.peers.Relay(), ReadsDigests: true,
 		OperatorsNext: c.operators.NextOffset(), ServersNext: c.servers.NextOffset(), Fence: c.sentFence, Successor: c.successor,
 		OperatorsAgeMs: -1, ServersAgeMs: -1,
-		OperatorsChanged: c.operatorsChangedAt, ServersChanged: c.serversChangedAt,
+		OperatorsChanged: c.operatorsLog.End(), ServersChanged: c.serversLog.End(),
 		InFlight: c.g.fleet.inFlight(), RateLimits: c.g.fleet.rateLimitReports(now),
 		Demands: c.g.fleet.ownDemands(),
 	}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -77,12 +77,14 @@
 	f.updateCapacity(now)
 }
 
-// refreshPlacement brings the placement table up to date if that is longer ago than a tick. The caller holds
-// the lock.
-func (f *fleet) refreshPlacement(now time.Duration) {
-	if now-f.placedAt >= tickInterval {
+// refreshPlacement brings the placement table and the slots up to date if that is longer ago than a tick, and
+// reports whether it did. The caller holds the lock.
+func (f *fleet) refreshPlacement(now time.Duration) bool {
+	isDue := now-f.placedAt >= tickInterval
+	if isDue {
 		f.updatePlacement(now)
 	}
+	return isDue
 }
 
 // tick does what is due at a tick for requests that wait, and tells the shares of cold servers that the process
--- a/internal/gateway/ratelimits.go
+++ b/internal/gateway/ratelimits.go
@@ -27,7 +27,7 @@
 	for _, r := range reports {
 		report := throttle.Report{
 			Server: r.GetServer(), Rate: r.GetRate(), Ended: r.GetEnded(),
-			Age: time.Duration(r.GetAgeMs()) * time.Millisecond,
+			Age: millis(r.GetAgeMs()),
 		}
 		if s := f.byHash[r.GetServer()]; f.rateLimits.RecordReport(report, now) && s != nil {
 			f.logRateLimit(s)
--- a/internal/gateway/refusing.go
+++ b/internal/gateway/refusing.go
@@ -52,6 +52,8 @@
 	}
 	if f.hasSeveralGroups(s.Service) {
 		s.refusedAt, s.hasRefused = now, true
+		_ = level.Warn(f.logger).Log("msg", "An engine refuses requests and gets none for a while; other groups of its service go on.",
+			"service", s.Service, "server", id, "result", result.Label(api.ResultCode_SATURATED))
 		f.updatePlacement(now)
 		return false
 	}
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -25,17 +25,14 @@
 // decideStoreReads decides whether this entry reads the store: because it is one of the readers for all,
 // because it lacks one of the topics, or because no other entry has a fresh answer for both.
 func (c *control) decideStoreReads(live []*api.PeerBeat, now time.Duration) {
-	self := &api.PeerBeat{
-		Ip: c.g.settings.IP, FailureDomain: c.g.settings.FailureDomain, Serving: c.g.view.Load().ready, Leaving: c.g.leaving.Load(),
-	}
-	readers := peering.SelectStoreReaders(self, live)
-	c.decideStartup(live, now)
-	isReader := slices.Contains(readers, self.GetIp())
-	c.isFirstReader = len(readers) > 0 && readers[0] == self.GetIp()
+	readers := peering.SelectStoreReaders(c.self(c.g.view.Load().ready), live)
+	isReader := slices.Contains(readers, c.g.settings.IP)
+	c.isFirstReader = isReader && readers[0] == c.g.settings.IP
 	c.g.isStoreReader.Store(isReader)
 	c.g.storeRetryInterval.Store(int64(storeRetryInterval(isReader, len(live)+1)))
 	operatorsAge, serversAge := freshestAges(c.othersToRely(live, readers))
 	isFresh := max(operatorsAge, serversAge) <= c.g.timing.maxFreshAge
+	c.decideStartup(live, isFresh, now)
 	if isFresh && !isReader {
 		c.operatorsAt = max(c.operatorsAt, now-operatorsAge)
 		c.serversAt = max(c.serversAt, now-serversAge)
@@ -200,10 +197,10 @@
 // stateBeyond returns the records that this entry holds beyond what another one has read.
 func (c *control) stateBeyond(req stateRequest) *api.PeerState {
 	state := &api.PeerState{}
-	if c.operatorsChangedAt > req.operators || req.operators == 0 {
+	if c.operatorsLog.End() > req.operators || req.operators == 0 {
 		state.Operators = topicState(c.operators, c.operatorsLog, req.operators)
 	}
-	if c.serversChangedAt > req.servers || req.servers == 0 {
+	if c.serversLog.End() > req.servers || req.servers == 0 {
 		state.Servers = topicState(c.servers, c.serversLog, req.servers)
 	}
 	return state
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
-	"hash/fnv"
 	"slices"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/coord/peering"
 	"github.com/apricothub/apricothub/platform"
 )
 
@@ -44,15 +46,13 @@
 	if isSeed := len(others) < len(s.Seeds); isSeed || len(others) == 0 {
 		return u
 	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(s.IP))
-	u.delay = minStartDelay + time.Duration(float64(startSpread)*float64(h.Sum32()%1000)/1000)
+	u.delay = minStartDelay + time.Duration(float64(startSpread)*float64(peering.ServerHash(s.IP)%1000)/1000)
 	return u
 }
 
 // decideStartup decides, once, between the store and other entries. While others have fresh answers of the store,
 // there is nothing to ask it: what they have or will read, they tell.
-func (c *control) decideStartup(live []*api.PeerBeat, now time.Duration) {
+func (c *control) decideStartup(live []*api.PeerBeat, isFresh bool, now time.Duration) {
 	if c.startup.isDone {
 		return
 	}
@@ -61,15 +61,16 @@
 		u.behindSince, u.isBehind = now, true
 	}
 	isTold := c.operators.Ready() && c.servers.Ready() && c.peers.MembersKnown()
-	operatorsAge, serversAge := freshestAges(live)
-	isFresh := max(operatorsAge, serversAge) <= c.g.timing.maxFreshAge
+	mustAsk := now-u.startedAt >= u.delay && !isFresh || u.isBehind && now-u.behindSince >= maxToldWait
 	switch {
 	case isTold:
 		close(c.g.toldByPeers)
-	case now-u.startedAt >= u.delay && !isFresh, u.isBehind && now-u.behindSince >= maxToldWait:
+	case mustAsk:
 		close(c.g.askStore)
 	default:
 		return
 	}
-	c.startup.isDone = true
+	u.isDone = true
+	_ = level.Info(c.logger).Log("msg", "It is decided whether the store is asked at the start.", "store_asked", !isTold,
+		"took_ms", (now - u.startedAt).Milliseconds(), "live", len(live)+1, "store_fresh", isFresh, "behind", u.isBehind)
 }
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -195,10 +195,11 @@
 // keep a team with many times the requests of the others from delaying the small ones.
 func (f *fleet) admitRequest(ctx context.Context, t *task, now time.Duration) (admissionID, placement, *result.Error) {
 	f.mu.Lock()
-	f.refreshPlacement(now)
-	// The entry's part of the slots was set up to a tick ago. Where many entries share few slots, or a
-	// request has since found no server, requests would be refused although slots are free.
-	f.updateCapacity(now)
+	if !f.refreshPlacement(now) {
+		// The entry's part of the slots was set up to a tick ago. Where many entries share few slots, or a
+		// request has since found no server, requests would be refused although slots are free.
+		f.updateCapacity(now)
+	}
 	f.lastID++
 	id := f.lastID
 	maxWait := t.maxQueueWait(now)
--- a/internal/logging/sentences_test.go
+++ b/internal/logging/sentences_test.go
@@ -66,6 +66,7 @@
 	"The expert map is given a new version.":                                        true,
 	"The log has truncated records; all keys are read again.":                       true,
 	"A silent entry was removed from the list of entries.":                          true,
+	"It is decided whether the store is asked at the start.":                        true,
 	"Live entries were added to the list of entries.":                               true,
 	"The process leaves.":                                                           true,
 	"The process starts.":                                                           true,
