Let seeds that start last tell the others, so that few entries ask the store

Cause: entries that start a moment before the seeds send their first heartbeat to nobody and the next one a second later; the seeds, which alone know the list of entries, do not relay, and relays that had been told everything before they knew the list were not told it again. So most entries asked the store when their delay was over.

Entries that have heard nobody probe often; an entry that knows the list tells it to relays; a reader asks again for everything once its relay knows the list. Two more causes, found by the tests: the delays of entries were spread evenly, so that the number of early ones grew with the fleet (square root now), and an entry that had been told all records decided a moment before it was told how fresh they are, and read the store.

--- a/coord/peering/joining.go
+++ b/coord/peering/joining.go
@@ -11,8 +11,8 @@
 const (
 	// welcomeInterval is the least time between two digests to an entry that has just started.
 	welcomeInterval = 300 * time.Millisecond
-	// maxProbes is the number of silent entries that an entry probes in each ProbeInterval. An entry
-	// without a relay probes maxStartProbes in each startProbeInterval.
+	// maxProbes is the number of silent entries that an entry among many probes in each ProbeInterval. One
+	// without a relay probes maxStartProbes in each startProbeInterval, one that has heard nobody all.
 	maxProbes          = 2
 	maxStartProbes     = 8
 	startProbeInterval = 100 * time.Millisecond
@@ -48,11 +48,16 @@
 }
 
 // takeWelcomes returns the digests to entries that have just started and read no relay yet: the relays of their
-// failure domain, or all if it has none yet.
+// failure domain, or all if it has none yet. A relay that does not know the list of entries is told all of them,
+// by one that knows the list and does not relay.
 func (t *Table) takeWelcomes(now time.Duration) []Message {
 	var messages []Message
 	byDomain := make(map[string]*api.PeerDigest)
 	for _, p := range t.takeNewcomers(now) {
+		if t.knowsMembers && !t.isRelay && t.isChosenRelay(p) {
+			messages = append(messages, Message{IPs: []string{p.ip}, Digest: &api.PeerDigest{Relayed: t.isMany, ListedIps: t.packedPeers(p)}})
+			continue
+		}
 		if p.lastHeartbeat.GetRelay() != 0 || t.isReader(p, now) || t.isOtherRelay(p, now) {
 			continue
 		}
--- a/coord/peering/peering.go
+++ b/coord/peering/peering.go
@@ -30,6 +30,8 @@
 	successor string
 	// coordinator is the IP of the entry that last named this one as its successor.
 	coordinator string
+	// hasHeard means that a heartbeat of any peer has come.
+	hasHeard bool
 	// version counts the changes of what the peers report.
 	version uint64
 	// newestOperators and newestServers are the highest offsets that a peer has reported.
@@ -139,6 +141,7 @@
 	if t.isPredecessor(p, heartbeat, now) {
 		return false
 	}
+	t.hasHeard = true
 	p.lastHeartbeat = heartbeat
 	p.lastHeard = max(p.lastHeard, heardAt)
 	t.recordChange(p, old)
@@ -300,7 +303,7 @@
 	interval := t.heartbeatInterval(t.liveCount(now))
 	var due []string
 	for _, p := range t.sorted {
-		wait := t.cfg.ProbeInterval
+		wait := t.probeWait(p, now)
 		if t.isLive(p, now) {
 			wait = interval
 			switch {
@@ -317,6 +320,15 @@
 	return due
 }
 
+// probeWait returns the time between two heartbeats to a silent peer. An entry that has just started and has
+// heard nobody does not wait long: the others may have started a moment later, and have missed its first one.
+func (t *Table) probeWait(p *peer, now time.Duration) time.Duration {
+	if !t.hasHeard && now-p.addedAt <= t.cfg.StartupGrace {
+		return startProbeInterval
+	}
+	return t.cfg.ProbeInterval
+}
+
 // takeTurn reports whether nothing has been sent to a peer for the given time, and records it as sent then.
 func (p *peer) takeTurn(wait, now time.Duration) bool {
 	if p.contacted && now-p.lastSent < wait {
--- a/coord/peering/reading.go
+++ b/coord/peering/reading.go
@@ -58,13 +58,30 @@
 		t.readLists(r, d)
 	}
 	heartbeats := t.acceptRecords(r, d, now)
-	t.knowsMembers = t.knowsMembers || sender.GetMembersKnown() && d.GetSince() == 0 && (d.GetNumber() != 0 || !d.GetRelayed())
 	if isCurrent {
 		t.finish(r, d, now)
 	}
+	t.readMembersKnown(sender, r)
 	return heartbeats
 }
 
+// readMembersKnown notes whether a digest tells the store's list of entries. A complete one does, if its sender knows
+// the list; one who has come to know it since is asked for all again.
+func (t *Table) readMembersKnown(sender *api.PeerBeat, r *reading) {
+	if t.knowsMembers || !sender.GetMembersKnown() {
+		return
+	}
+	d := sender.GetDigest()
+	switch {
+	case d.GetNumber() == 0:
+		t.knowsMembers = !d.GetRelayed() || len(d.GetListedIps()) > 0
+	case d.GetSince() == 0:
+		t.knowsMembers = d.GetPart() == 0
+	default:
+		r.known, r.isLost = 0, true
+	}
+}
+
 // begin notes that a digest has come, and reports whether it is not older than the last one.
 func (r *reading) begin(sender *api.PeerBeat, now time.Duration) bool {
 	d := sender.GetDigest()
--- a/coord/peering/relays_test.go
+++ b/coord/peering/relays_test.go
@@ -218,3 +218,31 @@
 	}
 	f.until(2 * time.Second)
 }
+
+// The list of entries is known to one that starts together with all others and relays nothing. All must come to
+// know it from there, or each asks the store for it.
+func TestTheListOfEntriesReachesAll(t *testing.T) {
+	for _, n := range []int{50, 200, 800} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			f := newSimulatedFleet(t, n, 11)
+			f.run(200*msec, nil)
+			seed := f.nodes[n/3]
+			if seed.capacity > 384 {
+				t.Fatal("the seed relays")
+			}
+			seed.AddPeer("10.9.9.9", f.now)
+			seed.SetMembersKnown()
+			f.run(2*time.Second, nil)
+			unaware := 0
+			for _, e := range f.nodes {
+				if !e.MembersKnown() || e.peers["10.9.9.9"] == nil {
+					unaware++
+				}
+			}
+			if unaware > 0 {
+				t.Errorf("%d of %d entries do not know the list", unaware, n)
+			}
+		})
+	}
+}
--- a/internal/gateway/controlfleet_test.go
+++ b/internal/gateway/controlfleet_test.go
@@ -47,6 +47,9 @@
 	controlTick = 50 * msec
 	// fetchTime is how long fetching records takes.
 	fetchTime = 150 * msec
+	// maxStartCalls limits the calls of a start or return of all at any size, since the same few ask. A return of
+	// 528 entries is to take less than 2,000.
+	maxStartCalls = 500
 	// listingCalls is the number of calls of a complete listing: pages of 200 of a thousand servers.
 	listingCalls = 5
 )
@@ -245,18 +248,16 @@
 			for _, e := range f.entries {
 				f.listed = append(f.listed, peering.Member{VM: e.g.settings.VM, IP: e.g.settings.IP})
 			}
-			// A return of 528 entries is to take less than 2,000 calls. The same few ask at any size.
-			const maxCalls = 500
-			if f.storeCalls > maxCalls {
-				t.Errorf("the start took %d calls, want %d at most", f.storeCalls, maxCalls)
+			if f.storeCalls > maxStartCalls {
+				t.Errorf("the start took %d calls, want %d at most", f.storeCalls, maxStartCalls)
 			}
 			f.storeCalls = 0
 			for _, e := range slices.Clone(f.entries) {
 				f.start(e.g.settings)
 			}
 			f.untilReady(3 * time.Second)
-			if f.storeCalls > maxCalls {
-				t.Errorf("the return took %d calls, want %d at most", f.storeCalls, maxCalls)
+			if f.storeCalls > maxStartCalls {
+				t.Errorf("the return took %d calls, want %d at most", f.storeCalls, maxStartCalls)
 			}
 		})
 	}
@@ -275,9 +276,34 @@
 			f.run(4 * time.Second)
 			f.operators = operators
 			f.untilReady(4 * time.Second)
-			const maxCalls = 500
-			if f.storeCalls > maxCalls {
-				t.Errorf("the start took %d calls, want %d at most", f.storeCalls, maxCalls)
+			if f.storeCalls > maxStartCalls {
+				t.Errorf("the start took %d calls, want %d at most", f.storeCalls, maxStartCalls)
+			}
+		})
+	}
+}
+
+// Guards against a start at which most entries ask the store, since the seeds started a moment after them and
+// did not hear their first heartbeats.
+func TestSeedsThatStartLastTellTheOthers(t *testing.T) {
+	t.Parallel()
+	for _, n := range fleetSizes() {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			f := newControlFleet(t, n, 50)
+			const seeds = 3
+			late := slices.Clone(f.entries[:seeds])
+			f.entries = f.entries[seeds:]
+			for _, e := range late {
+				delete(f.byIP, e.g.settings.IP)
+			}
+			f.run(200 * msec)
+			for _, e := range late {
+				f.start(e.g.settings)
+			}
+			f.untilReady(3 * time.Second)
+			if f.storeCalls > maxStartCalls {
+				t.Errorf("the start took %d calls, want %d at most", f.storeCalls, maxStartCalls)
 			}
 		})
 	}
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -46,7 +47,8 @@
 	if isSeed := len(others) < len(s.Seeds); isSeed || len(others) == 0 {
 		return u
 	}
-	u.delay = minStartDelay + time.Duration(float64(startSpread)*float64(peering.ServerHash(s.IP)%1000)/1000)
+	// Few begin early, so that among many entries those that the seeds have not told in time are few too.
+	u.delay = minStartDelay + time.Duration(float64(startSpread)*math.Sqrt(float64(peering.ServerHash(s.IP)%1000)/1000))
 	return u
 }
 
@@ -61,9 +63,12 @@
 		u.behindSince, u.isBehind = now, true
 	}
 	isTold := c.operators.Ready() && c.servers.Ready() && c.peers.MembersKnown()
-	mustAsk := now-u.startedAt >= u.delay && !isFresh || u.isBehind && now-u.behindSince >= maxToldWait
+	hasWaited := now-u.startedAt >= u.delay
+	mustAsk := hasWaited && !isFresh || u.isBehind && now-u.behindSince >= maxToldWait
 	switch {
-	case isTold:
+	// Without a fresh answer of the store, an entry that has decided reads it at once. The age of the answers is
+	// often told a moment later than the records.
+	case isTold && (isFresh || hasWaited):
 		close(c.g.toldByPeers)
 	case mustAsk:
 		close(c.g.askStore)
