Simplify the evidence against parts of requests

No change of behaviour: a suspicion holds its latest end in place of two copied fields, the parts of answers under way are bounded as the others are, and what holds for all parts but shared ones is named so.

--- a/decide/quarantine/evidence.go
+++ b/decide/quarantine/evidence.go
@@ -43,22 +43,12 @@
 // ownRequests are this entry's requests at a server that ended.
 type ownRequests struct {
 	parts []Part
-	// begun are the IDs of the parts of requests whose answers were under way.
-	begun    []string
+	// begun are those of them that requests had whose answers were under way.
+	begun    []Part
 	allBegun bool
 }
 
-func (o *ownRequests) has(id string) bool {
-	return o != nil && slices.ContainsFunc(o.parts, func(p Part) bool { return p.ID == id })
-}
-
-func (e *end) partOf(id string) (Part, bool) {
-	i := slices.IndexFunc(e.parts, func(p Part) bool { return p.ID == id })
-	if i < 0 {
-		return Part{}, false
-	}
-	return e.parts[i], true
-}
+func (o *ownRequests) has(id string) bool { return o != nil && indexOf(o.parts, id) >= 0 }
 
 // RecordEnd records that a server has ended while this entry had a request there. hasBegun means that the
 // answer had got past its beginning.
@@ -71,15 +61,12 @@
 		e.own = &ownRequests{allBegun: true}
 	}
 	parts = mayHaveEnded(parts, hasBegun)
-	if hasBegun {
-		for _, p := range parts {
-			e.own.begun = append(e.own.begun, p.ID)
-		}
-	} else {
-		e.own.allBegun = false
-	}
+	e.own.allBegun = e.own.allBegun && hasBegun
 	for _, p := range parts {
 		e.own.parts = addPart(e.own.parts, p)
+		if hasBegun {
+			e.own.begun = addPart(e.own.begun, p)
+		}
 	}
 	t.addToEnd(e, parts, hasBegun, now)
 }
@@ -121,8 +108,8 @@
 	t.isChanged = t.isChanged || e.allBegun && !allBegun
 	e.allBegun = e.allBegun && allBegun
 	for _, p := range parts {
-		known, isKnown := e.partOf(p.ID)
-		if isKnown && known.Scope <= p.Scope || !isKnown && len(e.parts) >= maxParts {
+		i := indexOf(e.parts, p.ID)
+		if i >= 0 && e.parts[i].Scope <= p.Scope || i < 0 && len(e.parts) >= maxParts {
 			continue
 		}
 		e.parts = addPart(e.parts, p)
@@ -184,7 +171,7 @@
 	}
 	if s, ok := t.suspects[p.ID]; ok {
 		t.isChanged = true
-		if at > s.lastEnd {
+		if at > s.last.at {
 			delete(t.suspects, p.ID)
 		}
 		t.proofNewsUntil[p.ID] = now + t.cfg.ReportTime
--- a/decide/quarantine/part.go
+++ b/decide/quarantine/part.go
@@ -1,6 +1,8 @@
 package quarantine
 
-// Part is something in a request that may end the servers which begin to answer it.
+import "slices"
+
+// Part is something in a request that may end the servers which answer it.
 type Part struct {
 	// ID names the part. Other requests with the same ID have the same part.
 	ID    string
@@ -44,13 +46,15 @@
 	return suspect
 }
 
+func indexOf(parts []Part, id string) int {
+	return slices.IndexFunc(parts, func(p Part) bool { return p.ID == id })
+}
+
 // addPart adds a part to a list without repeats. Of two scopes the wider one stands.
 func addPart(parts []Part, p Part) []Part {
-	for i := range parts {
-		if parts[i].ID == p.ID {
-			parts[i].Scope = min(parts[i].Scope, p.Scope)
-			return parts
-		}
+	if i := indexOf(parts, p.ID); i >= 0 {
+		parts[i].Scope = min(parts[i].Scope, p.Scope)
+		return parts
 	}
 	if len(parts) >= maxParts {
 		return parts
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -4,14 +4,15 @@
 // Each end of a server is evidence against the parts of the requests that were there: shared parts of those
 // that it had not begun to answer, midway ones of those that it had, and narrow parts, which hardly any other
 // request has, of all. A shared part is proven sound by an answer that gets past its beginning, the others by a
-// whole answer. A part is
-// quarantined once several servers have ended under it, none has proven it sound, and the same service has given
-// answers meanwhile that would have: when servers end for another reason, the parts that all requests share have
-// no such contrast. If the evidence fits several parts, the narrowest is quarantined,
-// which keeps the fewest requests from being served. The wider ones follow if servers go on ending without it.
+// whole answer.
 //
-// Before that, a part under suspicion is tried with one request at a time at each entry, a narrow one by few
-// entries at first. A quarantine ends by itself; one request of one entry is then the trial.
+// A part is quarantined once several servers have ended under it, none has proven it sound, and the same service
+// has given answers meanwhile that would have: when servers end for another reason, the parts that all requests
+// share have no such contrast. If the evidence fits several parts, the narrowest is quarantined, which keeps the
+// fewest requests from being served. The wider ones follow if servers go on ending without it.
+//
+// Before that, a part under suspicion is tried with one request at a time at each entry; with parts other than
+// shared ones, entries take turns. A quarantine ends by itself; one request of one entry is then the trial.
 //
 // Entries report ends, proofs and quarantines to each other, since each of them may see only one end.
 // All state is bounded. Time is an argument, counted since the process started; times in reports are ages.
@@ -42,12 +43,12 @@
 	// another TrialDelay for each further one: those with fewer parts prove them sound, or single out the
 	// bad one. Defaults 1 s and 5 s: the latter is longer than a group of engines takes to form again.
 	TrialDelay, MaxTrialDelay time.Duration
-	// RetryDelay is the time after the first end under a narrow part until the entry that had the request may
-	// send it again, and NarrowTrialDelay that until the other entries may try the part. Defaults 200 ms, in
-	// which the entries hear of each other's ends, and 500 ms, in which the first entry has tried.
-	RetryDelay, NarrowTrialDelay time.Duration
-	// TrialStep is the time after which twice as many entries may try a narrow part, one at first: longer than
-	// the news of an end takes. Default 150 ms.
+	// RetryDelay and PeerTrialDelay are for midway and narrow parts: the time after the first end until the entry
+	// that had the request may send it again, and until the others may try the part. Defaults 200 ms, in which
+	// the entries hear of each other's ends, and 500 ms, in which the first entry has tried.
+	RetryDelay, PeerTrialDelay time.Duration
+	// TrialStep is the time after which twice as many entries may try such a part, one at first: longer than the
+	// news of an end takes. Default 150 ms.
 	TrialStep time.Duration
 	// BaseTime is the length of the first quarantine of a part, MaxTime that of the longest. Each is twice
 	// as long as the one before. Defaults 1 min and 1 h: a trial that fails may cost a group of engines
@@ -84,7 +85,7 @@
 	setTime(&c.TrialDelay, time.Second)
 	setTime(&c.MaxTrialDelay, 5*time.Second)
 	setTime(&c.RetryDelay, 200*time.Millisecond)
-	setTime(&c.NarrowTrialDelay, 500*time.Millisecond)
+	setTime(&c.PeerTrialDelay, 500*time.Millisecond)
 	setTime(&c.TrialStep, 150*time.Millisecond)
 	setTime(&c.BaseTime, time.Minute)
 	setTime(&c.MaxTime, time.Hour)
--- a/decide/quarantine/quarantine_test.go
+++ b/decide/quarantine/quarantine_test.go
@@ -141,7 +141,7 @@
 	}
 	w.pass(time.Second)
 	w.checkQuarantined(bad, "rare")
-	if w.entries[0].suspects["topic0"].lastEnd != 0 {
+	if w.entries[0].suspects["topic0"].ends != 0 {
 		t.Error("a part that was at one server is under suspicion although the end is explained")
 	}
 }
--- a/decide/quarantine/trial.go
+++ b/decide/quarantine/trial.go
@@ -14,17 +14,17 @@
 const (
 	// Send: the request may be sent.
 	Send Action = iota
-	// Wait: a part of its prompt is under suspicion, and is tried or may be tried soon.
+	// Wait: one of its parts is under suspicion, and is tried or may be tried soon.
 	Wait
-	// Refuse: a part of its prompt is in quarantine.
+	// Refuse: one of its parts is in quarantine.
 	Refuse
 )
 
 // Decision is what is to be done with a request.
 type Decision struct {
 	Action Action
-	// Part is the part of the prompt that keeps the request from being sent, and Left the time for which
-	// it does so at least, if that is known.
+	// Part is the part that keeps the request from being sent, and Left the time for which it does so at
+	// least, if that is known.
 	Part string
 	Left time.Duration
 }
@@ -32,8 +32,8 @@
 // Permit holds the IDs of the parts that a request tries. A zero Permit holds none.
 type Permit struct{ parts []string }
 
-// Acquire decides whether a request may be sent to a server now. If so, the permit holds those parts of its
-// prompt that it tries; return them with Release. Call it before each attempt.
+// Acquire decides whether a request may be sent to a server now. If so, the permit holds those parts
+// that it tries; return them with Release. Call it before each attempt.
 func (t *Tracker) Acquire(permit *Permit, parts []Part, now time.Duration) Decision {
 	if !t.Any() {
 		return Decision{}
@@ -118,31 +118,31 @@
 
 // trialWait returns the time until this entry may try a part under suspicion; zero or less for now.
 func (t *Tracker) trialWait(part string, s suspicion, suspects int, now time.Duration) time.Duration {
+	since := now - s.last.at
 	delay := t.cfg.MaxTrialDelay
-	if t.hasContrast(s.scope, s.service, s.lastEnd) {
+	if t.hasContrast(s.scope, s.last.service, s.last.at) {
 		delay = t.cfg.TrialDelay
 	}
 	delay += time.Duration(suspects-1) * t.cfg.TrialDelay
-	if !s.scope.endsMidway() {
-		return s.lastEnd + delay - now
-	}
-	if s.ends == 1 && s.last.own.has(part) {
-		return s.lastEnd + t.retryDelay(part, s) - now
-	}
-	if s.ends == 1 {
-		delay = t.cfg.NarrowTrialDelay
-	}
-	if left := s.lastEnd + delay - now; left > 0 {
-		return left
-	}
-	return t.turnWait(s.last, now-s.lastEnd-delay)
+	switch {
+	case !s.scope.endsMidway():
+		return delay - since
+	case s.ends == 1 && s.last.own.has(part):
+		return t.retryDelay(part, s) - since
+	case s.ends == 1:
+		delay = t.cfg.PeerTrialDelay
+	}
+	if since < delay {
+		return delay - since
+	}
+	return t.turnWait(s.last, since-delay)
 }
 
 // retryDelay returns the time after the only end under a part until the entry that had the request may
 // send it again. An answer that was under way goes on at once: few requests end servers there, and a pause
 // would make it late.
 func (t *Tracker) retryDelay(part string, s suspicion) time.Duration {
-	if slices.Contains(s.last.own.begun, part) {
+	if indexOf(s.last.own.begun, part) >= 0 {
 		return 0
 	}
 	return t.cfg.RetryDelay
--- a/decide/quarantine/verdict.go
+++ b/decide/quarantine/verdict.go
@@ -14,9 +14,7 @@
 
 // suspicion is why a part is under suspicion.
 type suspicion struct {
-	service string
-	lastEnd time.Duration
-	scope   Scope
+	scope Scope
 	// ends is the number of servers that ended under the part, last the latest of them.
 	ends int
 	last *end
@@ -103,15 +101,14 @@
 }
 
 // isOutage reports whether a server ended at about the same time while all of its answers were under way:
-// then the cause lies elsewhere, such as in a loss of power. A part that may end servers with
-// their answers under way is cleared by a server that ended without it.
+// then the cause lies elsewhere, such as in a loss of power. A part that may end servers with their answers
+// under way is cleared only by one that ended without the part.
 func (t *Tracker) isOutage(e *end, p Part, now time.Duration) bool {
 	return slices.ContainsFunc(t.ends, func(other *end) bool {
 		if !other.allBegun || now-other.at < t.cfg.SettleTime || (other.at-e.at).Abs() > t.cfg.OutageWindow {
 			return false
 		}
-		_, hasPart := other.partOf(p.ID)
-		return !p.Scope.endsMidway() || !hasPart
+		return !p.Scope.endsMidway() || indexOf(other.parts, p.ID) < 0
 	})
 }
 
@@ -149,8 +146,7 @@
 	clear(t.suspects)
 	for part, ev := range all {
 		if t.score(len(ev.ends), ev.wasProven) > 0 && t.mayHoldBack(ev) {
-			last := ev.ends[len(ev.ends)-1]
-			t.suspects[part] = suspicion{service: last.service, lastEnd: last.at, scope: ev.scope, ends: len(ev.ends), last: last}
+			t.suspects[part] = suspicion{scope: ev.scope, ends: len(ev.ends), last: ev.ends[len(ev.ends)-1]}
 		}
 	}
 }
