Try parts under suspicion sooner once a group is open, and one after the other

The time until a trial now also runs from the moment at which the group is open again, and requests with as many parts under suspicion take an order by these parts, the same at all entries.

--- a/decide/quarantine/evidence.go
+++ b/decide/quarantine/evidence.go
@@ -78,6 +78,9 @@
 	}
 }
 
+// RecordOpen records that the group of a service's servers, which had been broken, is open again.
+func (t *Tracker) RecordOpen(service string, now time.Duration) { t.openedAt[service] = now }
+
 // HasRecentEnd reports whether a server has ended within the time in which ends count as one outage.
 func (t *Tracker) HasRecentEnd(now time.Duration) bool {
 	return len(t.ends) > 0 && now-t.ends[len(t.ends)-1].at <= t.cfg.OutageWindow
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -39,7 +39,7 @@
 	// under way shows that servers end for another reason. Default 500 ms.
 	OutageWindow time.Duration
 	// TrialDelay is the time after an end until a part under suspicion may be tried, once other answers
-	// have begun; MaxTrialDelay is that time if none has. A request with several such parts waits for
+	// have begun, or after the group of the servers is open again; MaxTrialDelay is that time in any case. A request with several such parts waits for
 	// another TrialDelay for each further one: those with fewer parts prove them sound, or single out the
 	// bad one. Defaults 1 s and 5 s: the latter is longer than a group of engines takes to form again.
 	TrialDelay, MaxTrialDelay time.Duration
@@ -109,6 +109,8 @@
 	proofs, wholeProofs proofLog
 	// begunAt and wholeAt are when an answer of each service last got past its beginning here, and was whole.
 	begunAt, wholeAt map[string]time.Duration
+	// openedAt is when the group of a service's servers was last open again after it had been broken.
+	openedAt map[string]time.Duration
 	// firstWholeAt is when the first answer of each service was whole here.
 	firstWholeAt map[string]time.Duration
 	// ends are the ends of servers, the oldest first.
@@ -137,6 +139,7 @@
 		begunAt:        make(map[string]time.Duration),
 		wholeAt:        make(map[string]time.Duration),
 		firstWholeAt:   make(map[string]time.Duration),
+		openedAt:       make(map[string]time.Duration),
 		suspects:       make(map[string]suspicion),
 		quarantines:    make(map[string]*quarantine),
 		trials:         make(map[string]bool),
--- a/decide/quarantine/trial.go
+++ b/decide/quarantine/trial.go
@@ -40,7 +40,7 @@
 	}
 	var tried []string
 	decision := Decision{}
-	suspects := t.countSuspects(parts)
+	suspects := t.suspectsOf(parts)
 	for _, p := range parts {
 		d := t.check(p.ID, suspects, now)
 		isHeld := slices.Contains(permit.parts, p.ID)
@@ -78,10 +78,17 @@
 	return isSuspect || t.quarantines[part] != nil
 }
 
-// countSuspects returns the number of parts under suspicion. Those other than shared ones count as
-// one: they are tried together.
-func (t *Tracker) countSuspects(parts []Part) int {
-	shared, others := 0, 0
+// suspects tells of the parts of a request that are under suspicion.
+type suspects struct {
+	// count is their number. Those other than shared ones count as one: they are tried together.
+	count int
+	// hash is the same for the same parts, at all entries.
+	hash uint64
+}
+
+func (t *Tracker) suspectsOf(parts []Part) suspects {
+	var of suspects
+	others := 0
 	for _, p := range parts {
 		s, isSuspect := t.suspects[p.ID]
 		switch {
@@ -89,14 +96,27 @@
 		case s.scope.endsMidway():
 			others = 1
 		default:
-			shared++
+			of.count++
+			of.hash ^= subset.Key(p.ID)
 		}
 	}
-	return shared + others
+	of.count += others
+	return of
+}
+
+// trialDelay returns the time between the moment from which parts may be tried and the trial of a request with
+// some of them. Requests with fewer go first. Those with as many take an order by their parts: if a bad request
+// and a sound one were tried at the same time, neither would be answered.
+func (t *Tracker) trialDelay(of suspects) time.Duration {
+	delay := time.Duration(of.count) * t.cfg.TrialDelay
+	if of.count > 1 {
+		delay -= time.Duration(of.hash % uint64(t.cfg.TrialDelay/2))
+	}
+	return delay
 }
 
-// check decides whether a part may be sent, if only as a trial, in a request with a number of suspects.
-func (t *Tracker) check(part string, suspects int, now time.Duration) Decision {
+// check decides whether a part may be sent, if only as a trial, in a request with some suspects.
+func (t *Tracker) check(part string, of suspects, now time.Duration) Decision {
 	if q := t.quarantines[part]; q != nil {
 		if now < q.until {
 			return Decision{Action: Refuse, Part: part, Left: q.until - now}
@@ -110,20 +130,21 @@
 	if !isSuspect {
 		return Decision{}
 	}
-	if left := t.trialWait(part, s, suspects, now); left > 0 {
+	if left := t.trialWait(part, s, of, now); left > 0 {
 		return Decision{Action: Wait, Part: part, Left: left}
 	}
 	return Decision{}
 }
 
 // trialWait returns the time until this entry may try a part under suspicion; zero or less for now.
-func (t *Tracker) trialWait(part string, s suspicion, suspects int, now time.Duration) time.Duration {
+func (t *Tracker) trialWait(part string, s suspicion, of suspects, now time.Duration) time.Duration {
 	since := now - s.last.at
-	delay := t.cfg.MaxTrialDelay
+	delay := t.cfg.MaxTrialDelay - t.cfg.TrialDelay + t.trialDelay(of)
 	if t.hasContrast(s.scope, s.last.service, s.last.at) {
-		delay = t.cfg.TrialDelay
+		delay = time.Duration(of.count) * t.cfg.TrialDelay
+	} else if openedAt, ok := t.openedAt[s.last.service]; ok && openedAt > s.last.at {
+		delay = min(delay, openedAt-s.last.at+t.trialDelay(of))
 	}
-	delay += time.Duration(suspects-1) * t.cfg.TrialDelay
 	switch {
 	case !s.scope.endsMidway():
 		return delay - since
--- a/decide/quarantine/trial_test.go
+++ b/decide/quarantine/trial_test.go
@@ -101,3 +101,35 @@
 		}
 	}
 }
+
+// Guards against a service that stands still for seconds after its group is open again, since no answer can come
+// before the first trial.
+func TestTrialsBeginOnceTheGroupIsOpen(t *testing.T) {
+	w := newWorld(t, 1)
+	w.end(0, "first", bad)
+	w.pass(time.Second)
+	w.entries[0].RecordOpen(service, w.now)
+	w.pass(500 * msec)
+	if w.mayTry(0, "first") {
+		t.Error("the part is tried as the group opens")
+	}
+	w.pass(1050 * msec)
+	if !w.mayTry(0, "first") || w.mayTry(0, "first", bad) {
+		t.Error("a part is not tried after the group has opened, or two parts are")
+	}
+}
+
+// Guards against a sound request being tried together with a bad one that has as many parts under suspicion.
+func TestRequestsWithAsManySuspectsAreTriedOneAfterTheOther(t *testing.T) {
+	w := newWorld(t, 1)
+	w.end(0, "first", "subject", bad)
+	w.pass(5400 * msec)
+	for range 12 {
+		w.pass(50 * msec)
+		sound, isBad := w.mayTry(0, "first", "subject"), w.mayTry(0, "first", bad)
+		if sound != isBad {
+			return
+		}
+	}
+	t.Error("both are tried at the same time")
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -137,6 +137,13 @@
 	p.hasNewEnd = true
 }
 
+// recordOpen records that the group of a service's servers is open again.
+func (p *promptGuard) recordOpen(service string, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tracker.RecordOpen(service, now)
+}
+
 // hasRecentEnd reports whether a server has ended lately.
 func (p *promptGuard) hasRecentEnd(now time.Duration) bool {
 	p.mu.Lock()
--- a/internal/gateway/refusing.go
+++ b/internal/gateway/refusing.go
@@ -165,6 +165,9 @@
 			break
 		}
 	}
+	if isOpen {
+		g.prompts.recordOpen(s.Service, clock.Now())
+	}
 	g.fleet.clearRefusing(s.Service)
 	_ = level.Info(g.logger).Log("msg", "A service that refused work was watched.", "service", s.Service, "server", s.ID,
 		"open", isOpen, "took_ms", (clock.Now() - began).Milliseconds())
