--- a/decide/quarantine/evidence.go
+++ b/decide/quarantine/evidence.go
@@ -141,7 +141,7 @@
 		}
 	}
 	for _, p := range parts {
-		if p.Scope.endsMidway() && !isWhole {
+		if p.Scope.needsWholeAnswer() && !isWhole {
 			continue
 		}
 		t.prove(p, now, now)
@@ -164,7 +164,7 @@
 	if before, ok := t.provenAt(p.ID); ok && before >= at {
 		return
 	}
-	if p.Scope.endsMidway() {
+	if p.Scope.needsWholeAnswer() {
 		t.wholeProofs.set(p.ID, at, t.cfg.MaxProofs/2)
 	} else {
 		t.proofs.set(p.ID, at, t.cfg.MaxProofs/2)
--- a/decide/quarantine/part.go
+++ b/decide/quarantine/part.go
@@ -30,9 +30,9 @@
 // isNarrow reports whether hardly any other request has the part.
 func (s Scope) isNarrow() bool { return s == Session || s == Whole }
 
-// endsMidway reports whether the part may end a server whose answer is under way, so that nothing but a whole
-// answer proves it sound.
-func (s Scope) endsMidway() bool { return s != Shared }
+// needsWholeAnswer reports whether nothing but a whole answer proves the part sound, since it may end a server in
+// the middle of one.
+func (s Scope) needsWholeAnswer() bool { return s != Shared }
 
 // mayHaveEnded returns those parts of a request that may have ended a server. hasBegun means that its answer
 // had got past its beginning.
--- a/decide/quarantine/report.go
+++ b/decide/quarantine/report.go
@@ -52,7 +52,7 @@
 		if t.quarantines[p.ID] != nil {
 			return nil
 		}
-		if t.isProvenSince(p.ID, e.at) || p.Scope.endsMidway() && t.suspects[p.ID].ends < 2 {
+		if t.isProvenSince(p.ID, e.at) || p.Scope.needsWholeAnswer() && t.suspects[p.ID].ends < 2 {
 			continue
 		}
 		open = append(open, p)
--- a/decide/quarantine/trial.go
+++ b/decide/quarantine/trial.go
@@ -93,7 +93,7 @@
 		s, isSuspect := t.suspects[p.ID]
 		switch {
 		case !isSuspect:
-		case s.scope.endsMidway():
+		case s.scope.needsWholeAnswer():
 			others = 1
 		default:
 			of.count++
@@ -146,7 +146,7 @@
 		delay = min(delay, openedAt-s.last.at+t.trialDelay(of))
 	}
 	switch {
-	case !s.scope.endsMidway():
+	case !s.scope.needsWholeAnswer():
 		return delay - since
 	case s.ends == 1 && s.last.own.has(part):
 		return t.retryDelay(part, s) - since
--- a/decide/quarantine/verdict.go
+++ b/decide/quarantine/verdict.go
@@ -108,7 +108,7 @@
 		if !other.allBegun || now-other.at < t.cfg.SettleTime || (other.at-e.at).Abs() > t.cfg.OutageWindow {
 			return false
 		}
-		return !p.Scope.endsMidway() || indexOf(other.parts, p.ID) < 0
+		return !p.Scope.needsWholeAnswer() || indexOf(other.parts, p.ID) < 0
 	})
 }
 
@@ -176,7 +176,7 @@
 // sound. The time may be negative, before this process started.
 func (t *Tracker) hasContrast(scope Scope, service string, since time.Duration) bool {
 	answers := t.begunAt
-	if scope.endsMidway() {
+	if scope.needsWholeAnswer() {
 		answers = t.wholeAt
 	}
 	at, ok := answers[service]
