Tell how much of a retry budget was spent, and by how many entries it is divided

The state dump and a line a second and service now have first attempts, retries and denied ones, the line also the number of entries; a counter has the attempts that no budget is charged for.

--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -22,6 +22,8 @@
 	Entries    int          `json:"entries"`
 	Addresses  []string     `json:"addresses"`
 	Servers    []serverDump `json:"servers"`
+	// RetryBudgets are the retry budgets of services.
+	RetryBudgets []retryBudgetDump `json:"retry_budgets"`
 	// Quarantined are the parts of prompts under which servers have ended, and Suspects those that may have
 	// ended one.
 	Quarantined []quarantineDump `json:"quarantined_parts,omitempty"`
@@ -43,6 +45,13 @@
 	RateLimit *float64 `json:"rate_limit,omitempty"`
 }
 
+type retryBudgetDump struct {
+	Service  string `json:"service"`
+	Requests int64  `json:"requests"`
+	Retries  int64  `json:"retries"`
+	Denied   int64  `json:"denied"`
+}
+
 type quarantineDump struct {
 	Part string `json:"part"`
 	// LeftMs is negative if the quarantine is over and the part waits for a trial.
@@ -63,6 +72,7 @@
 		}
 	}
 	d.Servers = g.fleet.dump(clock.Now())
+	d.RetryBudgets = g.fleet.dumpRetryBudgets()
 	d.Quarantined, d.Suspects = g.prompts.dump(clock.Now())
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(d)
@@ -86,6 +96,18 @@
 	return servers
 }
 
+func (f *fleet) dumpRetryBudgets() []retryBudgetDump {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var budgets []retryBudgetDump
+	for service, b := range f.budgets {
+		stats := b.Stats()
+		budgets = append(budgets, retryBudgetDump{service, stats.Requests, stats.Spent, stats.Denied})
+	}
+	slices.SortFunc(budgets, func(a, b retryBudgetDump) int { return strings.Compare(a.Service, b.Service) })
+	return budgets
+}
+
 func (p *promptGuard) dump(now time.Duration) ([]quarantineDump, []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/fate.go
+++ b/internal/gateway/fate.go
@@ -89,10 +89,28 @@
 }
 
 // spendRetry takes one retry from the budget of a service, and reports whether there was one.
-func (f *fleet) spendRetry(service string) bool {
+func (f *fleet) spendRetry(service string, now time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.retryBudget(service).SpendRetry()
+	b := f.retryBudget(service)
+	if b.SpendRetry() {
+		return true
+	}
+	f.logSpentBudget(service, b.Stats(), now)
+	return false
+}
+
+// spentBudgetLogInterval is the time between two log lines about a spent budget.
+const spentBudgetLogInterval = time.Second
+
+// logSpentBudget logs that a request is not sent again for lack of budget. The caller holds the lock.
+func (f *fleet) logSpentBudget(service string, stats place.RetryStats, now time.Duration) {
+	if last, ok := f.spentBudgetLoggedAt[service]; ok && now-last < spentBudgetLogInterval {
+		return
+	}
+	f.spentBudgetLoggedAt[service] = now
+	_ = level.Warn(f.logger).Log("msg", "The retry budget of a service is spent.", "service", service, "requests", stats.Requests,
+		"retries", stats.Spent, "denied", stats.Denied, "entries", f.maybeLive, "result", result.Label(api.ResultCode_SATURATED))
 }
 
 func (f *fleet) retryBudget(service string) *place.RetryBudget {
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -160,7 +160,7 @@
 		f := newTestFleet(3, 6, live, 0)
 		for range requests {
 			f.countRequest("app")
-			if f.spendRetry("app") {
+			if f.spendRetry("app", 0) {
 				retries++
 			}
 		}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -233,7 +233,7 @@
 			t.history.mayHaveRun = true
 		}
 		retry, why := shouldRetry(outcome, t.route, t.history)
-		if retry && outcome != unsent && !g.fleet.spendRetry(t.service) {
+		if retry && outcome != unsent && !g.fleet.spendRetry(t.service, clock.Now()) {
 			retry, why = false, "the retry budget is spent"
 		}
 		g.logAttempt(t, s, outcome, retry, why, attempted.err)
@@ -251,6 +251,9 @@
 			return
 		}
 		g.countRetry(t)
+		if outcome == unsent {
+			g.metrics.uncharged.Inc(1)
+		}
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,8 @@
 	registry                               metrics.Registry
 	requests, served, callersGone, retries metrics.Counter
 	late, resumed, ejected                 metrics.Counter
+	// uncharged counts the attempts that no retry budget was charged for, since nothing had been sent.
+	uncharged metrics.Counter
 	// limited counts rate limits that backend servers began to state or changed, rested their requests for
 	// rest.
 	limited, rested metrics.Counter
@@ -55,6 +57,7 @@
 		served:        metrics.NewRegisteredCounter("gateway.answers.whole", r),
 		callersGone:   metrics.NewRegisteredCounter("gateway.callers.gone", r),
 		retries:       metrics.NewRegisteredCounter("gateway.attempts.again", r),
+		uncharged:     metrics.NewRegisteredCounter("gateway.attempts.again.uncharged", r),
 		late:          metrics.NewRegisteredCounter("gateway.answers.late", r),
 		resumed:       metrics.NewRegisteredCounter("gateway.streams.resumed", r),
 		ejected:       metrics.NewRegisteredCounter("gateway.servers.left.out", r),
--- a/internal/logging/keys.go
+++ b/internal/logging/keys.go
@@ -103,6 +103,9 @@
 	{"urgency", "least urgent rank whose requests are limited; 0 is the most urgent"},
 	{"ratio", "fraction of that rank's requests that may run, of those that run or wait at all entries"},
 	{"demand", "requests of that rank that run or wait at this entry"},
+	{"requests", "first attempts of requests of the service at this entry since it started"},
+	{"retries", "requests of the service that this entry has sent again since it started"},
+	{"denied", "requests of the service that this entry has not sent again for lack of budget since it started"},
 	{"entries", "number of live entries, among which the slots are divided"},
 }}, {SectionServer, "a backend server, VM or failure domain", []Key{
 	{"server", "id of the backend server"},
