List retries across restarts of entries as known to fail

With the budgets as they are, eight entries that start six times within a window send 576 of 960 requests again, where 284 are allowed: each start brings its share of the reserve anew. 1,044 entries send 1,044 of 3,132 again, where 718 are allowed: a share is at least one retry.

--- /dev/null
+++ b/internal/gateway/retrybudget_test.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+)
+
+// All servers fail, and the reserve of retries is there again at each start of an entry, or is divided
+// among so many entries that each one's share is rounded up.
+func TestRetriesAcrossRestartsStayWithinTheBudget(t *testing.T) {
+	for _, c := range []struct {
+		name                   string
+		live, requests, starts int
+	}{
+		{"restarts in series", 8, 20, 6},
+		{"a whole fleet", 1044, 3, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			retries := 0
+			for range c.starts * c.live {
+				f := newTestFleet(3, 6, c.live, 0)
+				for range c.requests {
+					f.countRequest("app")
+					if f.spendRetry("app", time.Second) {
+						retries++
+					}
+				}
+			}
+			requests := c.starts * c.live * c.requests
+			if maxRetries := 0.2*float64(requests) + 92; float64(retries) > maxRetries {
+				t.Errorf("%d retries of %d requests, %v at most", retries, requests, maxRetries)
+			}
+		})
+	}
+}
