Keep the retries of all entries within their budget through any faults

Cause: each entry kept its share of the reserve in its memory, full at the start. The window of the budget outlasts the process, so each start that met failing servers brought the share anew. The share was the reserve divided by the entries that may be alive, so that an entry that knew too few took too much, and was at least one retry, which is more than the reserve from 73 entries on.

Change: decide/retry. First attempts earn half of the ratio, for less than a window; a process starts with nothing. The reserve is a ledger in the platform's store, from which an entry claims under a condition what its requests need at the moment. So neither part depends on what an entry knows of the others. A token of an attempt that sent nothing is given back, one of a retry that is sent too late is not used.

TestRetriesOfAllEntriesStayWithinTheBudget moves to the tests of the budget, with both of its bounds.

--- a/decide/place/retry.go
+++ b/decide/place/retry.go
@@ -13,23 +13,12 @@
 	Reserve  float64
 	tokens   float64
 	isFilled bool
-	stats    RetryStats
 }
 
-// RetryStats counts what a RetryBudget has been used for.
-type RetryStats struct {
-	// Requests counts first attempts, Spent retries and Denied those that were not made for lack of budget.
-	Requests, Spent, Denied int64
-}
-
-// Stats returns what the budget has been used for.
-func (b *RetryBudget) Stats() RetryStats { return b.stats }
-
 // CountRequest counts a first attempt.
 func (b *RetryBudget) CountRequest() {
 	b.fillOnFirstUse()
 	b.tokens = min(b.tokens+b.ratio(), b.reserve())
-	b.stats.Requests++
 }
 
 // CanRetry reports whether a retry may be made, without changing the budget.
@@ -38,21 +27,12 @@
 	return b.tokens >= 1
 }
 
-// HasSpare reports whether a retry may be made that is of use but not needed to answer the request:
-// half of the reserve stays for those that are.
-func (b *RetryBudget) HasSpare() bool {
-	b.fillOnFirstUse()
-	return b.tokens >= max(1, b.reserve()/2)
-}
-
 // SpendRetry reports whether a retry may be made, and deducts it from the budget.
 func (b *RetryBudget) SpendRetry() bool {
 	if !b.CanRetry() {
-		b.stats.Denied++
 		return false
 	}
 	b.tokens--
-	b.stats.Spent++
 	return true
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/apricothub/apricothub/decide/retry"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/routing"
 	"github.com/apricothub/apricothub/internal/sse"
@@ -51,8 +52,9 @@
 // attemptResult is the result of an attempt.
 type attemptResult struct {
 	outcome attemptOutcome
-	// next is the server that a moved request goes to.
-	next placement
+	// next is the server that a moved request goes to, token the token of the retry budget for that.
+	next  placement
+	token retry.Token
 	// asksForRest means that the server has refused the request and asks for rest.
 	asksForRest bool
 	// err is why the attempt failed, for the log.
@@ -102,8 +104,9 @@
 	}
 	if outcome != moved {
 		g.fleet.endAttempt(next.to.ID, outcomeUnknown, 0, clock.Now())
+		g.fleet.retries.giveBack(t.service, next.token)
 	}
-	return attemptResult{outcome: outcome, next: next.to, err: a.err}
+	return attemptResult{outcome: outcome, next: next.to, token: next.token, err: a.err}
 }
 
 func (a *attempt) run(ctx context.Context) attemptOutcome {
@@ -123,8 +126,13 @@
 		a.err = err
 		return unsent
 	}
-	a.conn = conn
 	sentAt := clock.Now()
+	if t := a.t.retryToken; t != nil && sentAt > t.SendBy {
+		conn.Release(nil, false, 0, sentAt)
+		a.err = errTokenExpired
+		return unsent
+	}
+	a.conn = conn
 	a.resp, err = conn.RoundTrip(ctx, a.outgoingRequest(), a.matches)
 	if err != nil {
 		return a.breakOff(err)
@@ -305,6 +313,10 @@
 	}
 }
 
+// errTokenExpired is the error of a retry that could not be sent before its token expired, as when the
+// process was paused.
+var errTokenExpired = errors.New("the token of the retry budget has expired")
+
 // errCutByEnd is the error of an answer that ended with its connection, but not as a whole.
 var errCutByEnd = errors.New("the connection ended before the answer was whole")
 
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -50,6 +50,7 @@
 	Requests int64  `json:"requests"`
 	Retries  int64  `json:"retries"`
 	Denied   int64  `json:"denied"`
+	Claimed  int64  `json:"claimed"`
 }
 
 type quarantineDump struct {
@@ -72,7 +73,7 @@
 		}
 	}
 	d.Servers = g.fleet.dump(clock.Now())
-	d.RetryBudgets = g.fleet.dumpRetryBudgets()
+	d.RetryBudgets = g.fleet.retries.dump()
 	d.Quarantined, d.Suspects = g.prompts.dump(clock.Now())
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(d)
@@ -96,18 +97,6 @@
 	return servers
 }
 
-func (f *fleet) dumpRetryBudgets() []retryBudgetDump {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var budgets []retryBudgetDump
-	for service, b := range f.budgets {
-		stats := b.Stats()
-		budgets = append(budgets, retryBudgetDump{service, stats.Requests, stats.Spent, stats.Denied})
-	}
-	slices.SortFunc(budgets, func(a, b retryBudgetDump) int { return strings.Compare(a.Service, b.Service) })
-	return budgets
-}
-
 func (p *promptGuard) dump(now time.Duration) ([]quarantineDump, []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/apricothub/apricothub/decide/eject"
 	"github.com/apricothub/apricothub/decide/place"
 	"github.com/apricothub/apricothub/decide/rest"
+	"github.com/apricothub/apricothub/decide/retry"
 	"github.com/apricothub/apricothub/decide/silence"
 	"github.com/apricothub/apricothub/decide/straggler"
 	"github.com/apricothub/apricothub/decide/throttle"
@@ -35,17 +36,13 @@
 	workTimeSamples = 16
 	// idlePlacementInterval is the time between two updates of the placement table while nothing happens.
 	idlePlacementInterval = 500 * time.Millisecond
-	// retryBudgetFraction is the fraction of the retry budget of all entries that this process
-	// plans with, since entries that have just started or stopped are counted late.
-	retryBudgetFraction = 0.8
 )
 
 // limits holds the platform.Bounds on what all entries together may send to a service or a backend
 // server.
 type limits struct {
 	coldMaxRatio, coldSlack float64
-	retryRatio              float64
-	retryReserve            float64
+	retry                   retry.Limits
 }
 
 // fleet holds what this process knows of the backend servers, and places requests on them. It is
@@ -66,9 +63,8 @@
 	byHash map[uint32]*server
 	// removedAt is when servers were removed that may return; times are since the process started.
 	removedAt map[string]time.Duration
-	budgets   map[string]*place.RetryBudget
-	// spentBudgetLoggedAt is when it was last logged that the budget of a service is spent.
-	spentBudgetLoggedAt map[string]time.Duration
+	// retries are the retry budgets of the services.
+	retries *retryBudgets
 	// rateLimits are the limits that servers state in their answers, resting the servers that ask for
 	// rest. pausedServices are the services, if there is such a server.
 	rateLimits     *throttle.Limits
@@ -168,37 +164,35 @@
 		limits: l,
 		rng:    rng,
 		// Reports here are the other entries' own counts, a fraction of a second old.
-		table:           place.NewTable(rng, place.Config{QueueRatio: serverQueueRatio, TrustStaleReports: true}),
-		ejector:         eject.New(eject.Config{}),
-		silenceDetector: silence.New(silence.Config{}),
-		stragglers:      straggler.New(straggler.Config{}),
-		engines:         make(map[string]bool),
-		servers:         make(map[string]*server),
-		removedAt:       make(map[string]time.Duration),
-		budgets:         make(map[string]*place.RetryBudget),
-
-		spentBudgetLoggedAt: make(map[string]time.Duration),
-		rateLimits:          throttle.New(self, rng),
-		resting:             rest.New(),
-		entries:             1,
-		maybeLive:           1,
-		admitter:            admit.New(admit.Config{MaxQueue: maxQueued, MaxWait: maxQueueWait, MaxRetryAfter: maxRetryAfter, BacklogStartsTogether: true}),
-		queue:               make(map[uint64]*queuedRequest),
-		running:             make(map[string]int),
-		queued:              make(map[string]int),
-		slotStates:          make(map[string]slotState),
-		outSince:            make(map[string]time.Duration),
-		divided:             make(map[string]bool),
-		demands:             make(map[string]*urgency.Table),
-		firstEventDelays:    make(map[string]time.Duration),
-		logger:              log.NewNopLogger(),
-		ejections:           metrics.NilCounter{},
-		limitsStated:        metrics.NilCounter{},
-		restsAsked:          metrics.NilCounter{},
-		divisions:           metrics.NilCounter{},
-		refusing:            make(map[string]bool),
-		groupSizes:          make(map[string]int),
-		confirmed:           make(map[string]bool),
+		table:            place.NewTable(rng, place.Config{QueueRatio: serverQueueRatio, TrustStaleReports: true}),
+		ejector:          eject.New(eject.Config{}),
+		silenceDetector:  silence.New(silence.Config{}),
+		stragglers:       straggler.New(straggler.Config{}),
+		engines:          make(map[string]bool),
+		servers:          make(map[string]*server),
+		removedAt:        make(map[string]time.Duration),
+		retries:          newRetryBudgets(l.retry),
+		rateLimits:       throttle.New(self, rng),
+		resting:          rest.New(),
+		entries:          1,
+		maybeLive:        1,
+		admitter:         admit.New(admit.Config{MaxQueue: maxQueued, MaxWait: maxQueueWait, MaxRetryAfter: maxRetryAfter, BacklogStartsTogether: true}),
+		queue:            make(map[uint64]*queuedRequest),
+		running:          make(map[string]int),
+		queued:           make(map[string]int),
+		slotStates:       make(map[string]slotState),
+		outSince:         make(map[string]time.Duration),
+		divided:          make(map[string]bool),
+		demands:          make(map[string]*urgency.Table),
+		firstEventDelays: make(map[string]time.Duration),
+		logger:           log.NewNopLogger(),
+		ejections:        metrics.NilCounter{},
+		limitsStated:     metrics.NilCounter{},
+		restsAsked:       metrics.NilCounter{},
+		divisions:        metrics.NilCounter{},
+		refusing:         make(map[string]bool),
+		groupSizes:       make(map[string]int),
+		confirmed:        make(map[string]bool),
 	}
 }
 
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/coord/peering"
 	"github.com/apricothub/apricothub/coord/registry"
+	"github.com/apricothub/apricothub/decide/retry"
 	"github.com/apricothub/apricothub/internal/experts"
 	"github.com/apricothub/apricothub/internal/routing"
 )
@@ -54,7 +55,7 @@
 	if len(seed) > 0 {
 		rng = rand.New(rand.NewPCG(seed[0], 1))
 	}
-	f := newFleet("10.0.1.0", limits{coldMaxRatio: 1.5, coldSlack: 5, retryRatio: 0.2, retryReserve: 92}, rng)
+	f := newFleet("10.0.1.0", limits{coldMaxRatio: 1.5, coldSlack: 5, retry: retry.Limits{Ratio: 0.2, Reserve: 92, Window: 10 * time.Second}}, rng)
 	f.setServers(registrations(n, concurrency), nil, serviceTable(coldRate), entryCounts{live, live}, 0)
 	return f
 }
@@ -151,28 +152,6 @@
 	}
 }
 
-// All servers fail, and every request is to be retried. The retries of all entries together must
-// stay within the budget that they share.
-func TestRetriesOfAllEntriesStayWithinTheBudget(t *testing.T) {
-	const live, requests = 8, 60
-	retries := 0
-	for range live {
-		f := newTestFleet(3, 6, live, 0)
-		for range requests {
-			f.countRequest("app")
-			if f.spendRetry("app", 0) {
-				retries++
-			}
-		}
-	}
-	if maxRetries := 0.2*live*requests + 92; float64(retries) > maxRetries {
-		t.Errorf("%d retries, %v at most", retries, maxRetries)
-	}
-	if retries < live*requests/10 {
-		t.Errorf("only %d retries", retries)
-	}
-}
-
 // Eight entries place requests on twelve engines by reports of each other that are up to 150 ms
 // old. If they all chose the server that last reported idle, one engine would get far more than the
 // mean, and its callers would wait while others idle.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,7 +110,7 @@
 		store: platform.NewStore(s.Store.Address, countingTransport{transport, counters}),
 		fleet: newFleet(s.IP, limits{
 			coldMaxRatio: s.Bounds.ColdMaxRatio, coldSlack: s.Bounds.ColdSlack,
-			retryRatio: s.Bounds.RetryRatio, retryReserve: s.Bounds.RetryReserve,
+			retry: retryLimits(s.Bounds),
 		}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		pool:    upstream.NewPool(connectTimeout),
 		ends:    newEndProber(),
@@ -139,6 +139,7 @@
 	g.fleet.ejections, g.fleet.limitsStated, g.fleet.restsAsked = counters.ejected, counters.limited, counters.rested
 	g.fleet.divisions = counters.divisions
 	g.fleet.logger = logging.Part(logger, "servers")
+	g.fleet.retries.logger = logging.Part(logger, "retries")
 	g.experts = experts.New(s.VM, s.PeerPort, g, g.store, logging.Part(logger, "experts"))
 	return g
 }
@@ -181,6 +182,7 @@
 	addPart(g.receiveHeartbeats)
 	addPart(g.maintainMembership)
 	addPart(g.maintainQuarantines)
+	addPart(g.maintainRetryClaims)
 	addPart(g.sweepConnections)
 	addPart(g.experts.Run)
 	group.Add(func() error { return g.serveAll(ctx, partsCtx, endpoints) }, func(error) { cancel() })
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/decide/quarantine"
+	"github.com/apricothub/apricothub/decide/retry"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/internal/routing"
@@ -50,6 +51,8 @@
 	history history
 	// tried are the backend servers of the attempts so far.
 	tried []string
+	// retryToken is the token of the retry budget for the current attempt; nil for none.
+	retryToken *retry.Token
 	// permit holds the parts of the prompt that this request tries.
 	permit quarantine.Permit
 	// out is the caller's side.
@@ -188,7 +191,7 @@
 		return
 	}
 	defer g.prompts.release(t)
-	g.fleet.countRequest(t.service)
+	g.fleet.retries.countRequest(t.service, clock.Now())
 	id, s, err := g.fleet.admitRequest(ctx, t, clock.Now())
 	if err != nil {
 		t.waited = t.elapsed()
@@ -208,6 +211,9 @@
 		t.tried = append(t.tried, s.ID)
 		attempted := g.attempt(ctx, t, s)
 		outcome := attempted.outcome
+		if outcome != unsent {
+			t.retryToken = nil
+		}
 		switch outcome {
 		case delivered:
 			took = clock.Now() - began
@@ -227,36 +233,64 @@
 			g.logAttempt(t, s, outcome, true, "", attempted.err)
 			g.metrics.moved.Inc(1)
 			g.countRetry(t)
-			s = attempted.next
+			s, t.retryToken = attempted.next, &attempted.token
 			continue
 		case serverError, broken:
 			t.history.mayHaveRun = true
 		}
-		retry, why := shouldRetry(outcome, t.route, t.history)
-		if retry && outcome != unsent && !g.fleet.spendRetry(t.service, clock.Now()) {
-			retry, why = false, "the retry budget is spent"
+		again, why := shouldRetry(outcome, t.route, t.history)
+		if again && !g.chargeRetry(ctx, t, outcome) {
+			again, why = false, "the retry budget is spent"
 		}
-		g.logAttempt(t, s, outcome, retry, why, attempted.err)
-		if !retry {
+		g.logAttempt(t, s, outcome, again, why, attempted.err)
+		if !again {
 			g.giveUp(ctx, t, result.New(api.ResultCode_SATURATED))
 			return
 		}
 		g.prompts.release(t)
-		if err := g.prompts.await(ctx, t, maxRetryServerWait); err != nil {
-			g.giveUp(ctx, t, err)
-			return
-		}
-		if s, err = g.waitForRetryServer(ctx, t, outcome); err != nil {
+		if s, err = g.awaitRetry(ctx, t, outcome); err != nil {
+			g.returnRetryToken(t)
 			g.giveUp(ctx, t, err)
 			return
 		}
 		g.countRetry(t)
-		if outcome == unsent {
-			g.metrics.uncharged.Inc(1)
-		}
 	}
 }
 
+// chargeRetry charges the retry budget for another attempt of a request, given the outcome of the last one,
+// and reports whether the budget allows it. The first attempt that reaches a backend server is free.
+func (g *Gateway) chargeRetry(ctx context.Context, t *task, outcome attemptOutcome) bool {
+	if outcome == unsent {
+		// The token of this attempt was not used, and may have expired since.
+		g.returnRetryToken(t)
+	}
+	if t.history.sent == 0 {
+		g.metrics.uncharged.Inc(1)
+		return true
+	}
+	token, ok := g.fleet.retries.await(ctx, t.service)
+	if ok {
+		t.retryToken = &token
+	}
+	return ok
+}
+
+// returnRetryToken gives the token of an attempt that sent nothing back to the retry budget.
+func (g *Gateway) returnRetryToken(t *task) {
+	if t.retryToken != nil {
+		g.fleet.retries.giveBack(t.service, *t.retryToken)
+		t.retryToken = nil
+	}
+}
+
+// awaitRetry waits until a request may be sent to another backend server, and picks it.
+func (g *Gateway) awaitRetry(ctx context.Context, t *task, outcome attemptOutcome) (placement, *result.Error) {
+	if err := g.prompts.await(ctx, t, maxRetryServerWait); err != nil {
+		return placement{}, err
+	}
+	return g.waitForRetryServer(ctx, t, outcome)
+}
+
 // countRetry counts a request that is sent to another backend server.
 func (g *Gateway) countRetry(t *task) {
 	g.metrics.retries.Inc(1)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,7 +22,8 @@
 	registry                               metrics.Registry
 	requests, served, callersGone, retries metrics.Counter
 	late, resumed, ejected                 metrics.Counter
-	// uncharged counts the attempts that no retry budget was charged for, since nothing had been sent.
+	// uncharged counts further attempts that no retry budget was charged for, since no backend server had got
+	// the request.
 	uncharged metrics.Counter
 	// limited counts rate limits that backend servers began to state or changed, rested their requests for
 	// rest.
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/decide/retry"
 	"github.com/apricothub/apricothub/decide/silence"
 	"github.com/apricothub/apricothub/decide/straggler"
 )
@@ -20,6 +21,8 @@
 // move is the move of a running request to another backend server.
 type move struct {
 	to placement
+	// token is the token of the retry budget for it.
+	token retry.Token
 	// cause is why the request moves, for the log; outcome is what that counts for at the server that
 	// it leaves.
 	cause   error
@@ -39,29 +42,32 @@
 	if m == nil {
 		return nil
 	}
+	token, ok := f.retries.spend(t.service, now)
+	if !ok {
+		return nil
+	}
 	s, code := f.pick(pickRequest{service: t.service, tried: t.tried, timeLeft: timeLeft(t.deadline, now)}, now)
 	if code != api.ResultCode_OK {
+		f.retries.giveBack(t.service, token)
 		return nil
 	}
-	m.to = s
-	f.retryBudget(t.service).SpendRetry()
+	m.to, m.token = s, token
 	f.silenceDetector.RecordMove(now)
 	return m
 }
 
 // moveCause returns why a request is to move now, or nil if it stays. The caller holds the lock.
 func (f *fleet) moveCause(id string, t *task, p silence.Progress, events int, now time.Duration) *move {
-	budget := f.retryBudget(t.service)
 	free, capacity := f.table.Slots(offer(t.service), now)
 	service := silence.Service{Name: t.service, LockStep: f.engines[t.service], FreeSlots: free, Slots: capacity, Entries: f.entries}
 	reason := f.silenceDetector.MoveReason(id, service, p, now)
 	switch {
-	case reason == silence.SilentVM && budget.CanRetry():
+	case reason == silence.SilentVM && f.retries.canSpend(t.service, now):
 		// Probes track a silent VM, so the attempt itself does not count against the server.
 		return &move{cause: errSilentVM, outcome: outcomeUnknown}
-	case reason == silence.Stuck && budget.CanRetry():
+	case reason == silence.Stuck && f.retries.canSpend(t.service, now):
 		return &move{cause: errNoProgress, outcome: outcomeFailed}
-	case f.leavesSlowServer(id, t, p, events, now) && f.silenceDetector.MayMove(service, now) && budget.HasSpare():
+	case f.leavesSlowServer(id, t, p, events, now) && f.silenceDetector.MayMove(service, now) && f.retries.hasSpare(t.service, now):
 		return &move{cause: errSlowServer, outcome: outcomeUnknown}
 	}
 	return nil
--- a/internal/gateway/retrybudget_test.go
+++ b/internal/gateway/retrybudget_test.go
@@ -20,8 +20,8 @@
 			for range c.starts * c.live {
 				f := newTestFleet(3, 6, c.live, 0)
 				for range c.requests {
-					f.countRequest("app")
-					if f.spendRetry("app", time.Second) {
+					f.retries.countRequest("app", time.Second)
+					if _, ok := f.retries.spend("app", time.Second); ok {
 						retries++
 					}
 				}
@@ -33,3 +33,25 @@
 		})
 	}
 }
+
+// All servers fail, and every request is to be retried. The retries of all entries together must
+// stay within the budget that they share.
+func TestRetriesOfAllEntriesStayWithinTheBudget(t *testing.T) {
+	const live, requests = 8, 60
+	retries := 0
+	for range live {
+		f := newTestFleet(3, 6, live, 0)
+		for range requests {
+			f.retries.countRequest("app", 0)
+			if _, ok := f.retries.spend("app", 0); ok {
+				retries++
+			}
+		}
+	}
+	if maxRetries := 0.2*live*requests + 92; float64(retries) > maxRetries {
+		t.Errorf("%d retries, %v at most", retries, maxRetries)
+	}
+	if retries < live*requests/10 {
+		t.Errorf("only %d retries", retries)
+	}
+}
--- /dev/null
+++ b/internal/gateway/retryclaims.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/decide/retry"
+	"github.com/apricothub/apricothub/internal/clock"
+	"github.com/apricothub/apricothub/internal/result"
+	"github.com/apricothub/apricothub/platform"
+)
+
+const (
+	// topicRetries holds the ledgers of the reserves of retries, keyed by service.
+	topicRetries = "keyed.retries"
+	// maxClaimTries limits the tries of one claim when other entries claim at the same time, and
+	// maxClaimPause the random pause between two of them.
+	maxClaimTries = 3
+	maxClaimPause = 30 * time.Millisecond
+	// claimCallsRatio is the part of the store's write calls that the claims of all entries may take, and
+	// defaultClaimsPerSecond the number of these calls if the settings state no limit.
+	claimCallsRatio        = 0.1
+	defaultClaimsPerSecond = 50
+	// minClaimBackoff and maxClaimBackoff limit the time without claims after the store has not answered.
+	minClaimBackoff = time.Second
+	maxClaimBackoff = 8 * time.Second
+)
+
+// errReserveSpent means that nothing of a reserve can be claimed now.
+var errReserveSpent = errors.New("the reserve of retries is spent")
+
+// maintainRetryClaims claims retries from the reserves in the store while requests need them.
+func (g *Gateway) maintainRetryClaims(ctx context.Context) error {
+	retries, backoff := g.fleet.retries, minClaimBackoff
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-retries.needed:
+		}
+		for service, wanted := range retries.wanted() {
+			err := g.claimRetries(ctx, service, wanted)
+			now := clock.Now()
+			switch {
+			case err == nil:
+				backoff = minClaimBackoff
+			case errors.Is(err, errReserveSpent):
+				retries.refuse(service, retries.nextRoom(service, now), now)
+			default:
+				_ = level.Warn(retries.logger).Log("msg", "No retries could be claimed from the reserve in the store.", "service", service, "err", err,
+					"result", result.Label(api.ResultCode_LOG_UNAVAILABLE))
+				retries.refuse(service, now+max(backoff, g.maxStoreBackoff()), now)
+				backoff = min(2*backoff, maxClaimBackoff)
+			}
+		}
+		if err := sleep(ctx, g.claimInterval()); err != nil {
+			return err
+		}
+	}
+}
+
+// claimInterval returns the time between two claims of this entry.
+func (g *Gateway) claimInterval() time.Duration {
+	perSecond := g.settings.Store.WritesPerSecond * claimCallsRatio
+	if perSecond <= 0 {
+		perSecond = defaultClaimsPerSecond
+	}
+	entries := 1
+	if v := g.view.Load(); v != nil {
+		entries = max(v.entries, 1)
+	}
+	return time.Duration(float64(entries) / perSecond * float64(time.Second))
+}
+
+// claimRetries claims the wanted number of retries of a service, or fewer, from its reserve.
+func (g *Gateway) claimRetries(ctx context.Context, service string, wanted int) error {
+	for try := 1; ; try++ {
+		err := g.tryClaim(ctx, service, wanted)
+		if !errors.Is(err, platform.ErrOffsetMismatch) || try == maxClaimTries {
+			return err
+		}
+		if err := sleep(ctx, rand.N(maxClaimPause)); err != nil {
+			return err
+		}
+	}
+}
+
+func (g *Gateway) tryClaim(ctx context.Context, service string, wanted int) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	listing, err := g.store.ListNewest(ctx, topicRetries)
+	if err != nil {
+		return errors.Wrap(err, "read retry claims")
+	}
+	read := g.readClaims(listing, service)
+	sentAt := clock.Now()
+	claims, tokens := g.fleet.retries.draw(service, read, rand.Uint64(), wanted, sentAt)
+	if tokens == 0 {
+		return errReserveSpent
+	}
+	value, err := proto.Marshal(claimsMessage(claims))
+	if err != nil {
+		return errors.Wrap(err, "encode retry claims")
+	}
+	if err := g.store.PutUnlessChanged(ctx, topicRetries, service, value, listing.End); err != nil {
+		return errors.Wrap(err, "write retry claim")
+	}
+	g.fleet.retries.grant(service, tokens, sentAt+retry.ClaimLifetime, clock.Now())
+	return nil
+}
+
+// readClaims returns the claims of a service. A record that cannot be read is replaced by the next claim, since
+// it would stand there for good.
+func (g *Gateway) readClaims(listing platform.Listing, service string) []retry.Claim {
+	message := &api.RetryClaims{}
+	for _, r := range listing.Records {
+		if r.Key != service {
+			continue
+		}
+		if err := proto.Unmarshal(r.Value, message); err != nil {
+			_ = level.Warn(g.fleet.retries.logger).Log("msg", "The retries claimed from the reserve could not be decoded and count as none.",
+				"service", service, "offset", r.Offset, "err", err, "result", result.Label(api.ResultCode_BAD_LIST))
+			return nil
+		}
+	}
+	claims := make([]retry.Claim, 0, len(message.GetClaims()))
+	for _, c := range message.GetClaims() {
+		claims = append(claims, retry.Claim{ID: c.GetId(), Tokens: int(c.GetTokens()), Age: time.Duration(c.GetAgeMs()) * time.Millisecond})
+	}
+	return claims
+}
+
+func claimsMessage(claims []retry.Claim) *api.RetryClaims {
+	message := &api.RetryClaims{}
+	for _, c := range claims {
+		message.Claims = append(message.Claims, &api.RetryClaim{Id: c.ID, Tokens: uint32(c.Tokens), AgeMs: uint32(c.Age.Milliseconds())})
+	}
+	return message
+}
--- a/internal/logging/keys.go
+++ b/internal/logging/keys.go
@@ -106,6 +106,8 @@
 	{"requests", "first attempts of requests of the service at this entry since it started"},
 	{"retries", "requests of the service that this entry has sent again since it started"},
 	{"denied", "requests of the service that this entry has not sent again for lack of budget since it started"},
+	{"claimed", "retries of the service that this entry has claimed from the reserve of all entries since it started"},
+	{"left_out_ms", "time for which no more are claimed"},
 	{"entries", "number of live entries, among which the slots are divided"},
 }}, {SectionServer, "a backend server, VM or failure domain", []Key{
 	{"server", "id of the backend server"},
--- a/test/fakeplatform/store.go
+++ b/test/fakeplatform/store.go
@@ -150,9 +150,14 @@
 	body, _ := io.ReadAll(r.Body)
 	keyLen := int(body[4])
 	topic := r.URL.Query().Get("topic")
-	s.Put(topic, string(body[5:5+keyLen]), string(body[5+keyLen:]))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if at := r.URL.Query().Get("at"); at != "" && at != strconv.Itoa(len(s.topics[topic])) {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		_, _ = fmt.Fprintf(w, `{"end":%d}`, len(s.topics[topic]))
+		return
+	}
+	s.topics[topic] = append(s.topics[topic], [2]string{string(body[5 : 5+keyLen]), string(body[5+keyLen:])})
 	_, _ = fmt.Fprintf(w, `{"offset":%d,"end":%d}`, len(s.topics[topic])-1, len(s.topics[topic]))
 }
 
