Bound what any process sends in bytes and time, by one rule for all readers

Cause: each reader had limits of its own, or none. The reader of answers limited bodies, not heads; the HTTP library's own limit for heads is 10 MB; several readers cut a long message off silently.

Change: internal/bounded reads a message whole up to its limit and fails beyond it. Heads have 64 KB everywhere, an answer that is passed on 64 MB, an error 1 MB, the answer to another request 1 MB. What a gateway holds of all answers, and of all bodies of requests, is bounded too: without room an answer is passed on as it arrives, and a request is refused. The body of a request is read until its deadline, 30 s at most; a request for which nobody states a time ends after an hour; other endpoints than that for callers have read and write timeouts.

The same for the transports of the store, peers and engines, and for callers.

--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/internal/adminapi"
+	"github.com/apricothub/apricothub/internal/bounded"
 	"github.com/apricothub/apricothub/internal/result"
 )
 
@@ -44,7 +45,7 @@
 		baseURL: "http://" + address, token: token,
 		httpClient: &http.Client{
 			// Proxies from the environment are ignored: the token is sent to this address only.
-			Transport:     &http.Transport{DisableKeepAlives: true},
+			Transport:     bounded.Transport(&http.Transport{DisableKeepAlives: true}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}, nil
@@ -142,7 +143,7 @@
 		return nil, result.Newf(api.ResultCode_UNREACHABLE, "No answer from %s: %v.", c.baseURL, errors.Unwrap(err))
 	}
 	defer response.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	text, err := bounded.ReadAll(response.Body, maxResponseBytes, "the answer")
 	if err != nil {
 		return nil, result.Newf(api.ResultCode_UNREACHABLE, "The answer of %s broke off: %v.", c.baseURL, err)
 	}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/internal/bounded"
 )
 
 const (
@@ -73,11 +74,11 @@
 	return &backend{
 		base:    base,
 		oneshot: newOneshot(base),
-		transport: &http.Transport{
+		transport: bounded.Transport(&http.Transport{
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 			Proxy:              nil,
-		},
+		}),
 		queryTransport: newQueryTransport(),
 	}
 }
@@ -117,13 +118,20 @@
 	return b.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 }
 
+const (
+	// maxAnswerBytes limits the body of an answer.
+	maxAnswerBytes = 64 << 20
+	answerName     = "the body of an answer"
+)
+
 // readParts passes the parts of an answer to handle. It returns an error unless the answer is
 // complete.
 func readParts(resp *http.Response, handle func([]byte) error) error {
+	body := bounded.NewReader(resp.Body, maxAnswerBytes, answerName)
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		return readEvents(resp.Body, handle)
+		return readEvents(body, handle)
 	}
-	return readPlain(resp.Body, handle)
+	return readPlain(body, handle)
 }
 
 // readEvents passes each event as one part, so that a caller can resume after any event.
--- a/internal/agent/engineclient.go
+++ b/internal/agent/engineclient.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricothub/apricothub/coord/expertmap"
+	"github.com/apricothub/apricothub/internal/bounded"
 )
 
 const (
@@ -49,12 +50,12 @@
 
 func newEngineClient(base, incarnation string) *engineClient {
 	c := &engineClient{base: strings.TrimSuffix(base, "/"), incarnation: incarnation}
-	c.transport = &http.Transport{
+	c.transport = bounded.Transport(&http.Transport{
 		DialContext:         c.dial,
 		MaxConnsPerHost:     1,
 		MaxIdleConnsPerHost: 1,
 		Proxy:               nil,
-	}
+	})
 	return c
 }
 
@@ -163,7 +164,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, 4<<20))
+	text, err := bounded.ReadAll(resp.Body, maxControlAnswerBytes, "the answer of the engine")
 	switch {
 	case err != nil:
 		return err
--- a/internal/agent/oneshot.go
+++ b/internal/agent/oneshot.go
@@ -5,10 +5,11 @@
 	"bytes"
 	"context"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"net/url"
+
+	"github.com/apricothub/apricothub/internal/bounded"
 )
 
 const (
@@ -17,7 +18,7 @@
 	// is read, even to a backend server that answers without reading it.
 	maxOneshotBodyBytes = 64 << 10
 	// maxAnswerHeaderBytes limits the status line and header of an answer.
-	maxAnswerHeaderBytes = 1 << 20
+	maxAnswerHeaderBytes = bounded.MaxHeaderBytes
 	// maxInterimAnswers limits the interim answers before the final one.
 	maxInterimAnswers = 5
 )
@@ -80,7 +81,7 @@
 	if _, err := conn.Write(text.Bytes()); err != nil {
 		return nil, err
 	}
-	limited := &io.LimitedReader{R: conn, N: maxAnswerHeaderBytes}
+	limited := bounded.NewReader(conn, maxAnswerHeaderBytes, "the header of an answer")
 	reader := bufio.NewReader(limited)
 	for range maxInterimAnswers {
 		resp, err := http.ReadResponse(reader, req)
@@ -88,7 +89,7 @@
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			limited.N = math.MaxInt64
+			limited.Allow(maxAnswerBytes, answerName)
 			return resp, nil
 		}
 	}
--- a/internal/agent/query.go
+++ b/internal/agent/query.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/apricothub/apricothub/internal/bounded"
 )
 
 const (
@@ -21,12 +23,12 @@
 // newQueryTransport returns the transport for queries. A query may be sent twice, so connections
 // may be kept: one for each polling goroutine.
 func newQueryTransport() *http.Transport {
-	return &http.Transport{
+	return bounded.Transport(&http.Transport{
 		DisableCompression:  true,
 		Proxy:               nil,
 		MaxIdleConnsPerHost: 3,
 		IdleConnTimeout:     30 * time.Second,
-	}
+	})
 }
 
 // query sends one query to the engine's control interface over a kept connection. A new connection
@@ -72,7 +74,7 @@
 		return resp.StatusCode, nil
 	}
 	// A connection is kept only if its answer was read to the end.
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlAnswerBytes))
+	data, err := bounded.ReadAll(resp.Body, maxControlAnswerBytes, "the answer of the engine")
 	if err != nil {
 		return 0, err
 	}
--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -19,6 +19,7 @@
 
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/coord/mapswitch"
+	"github.com/apricothub/apricothub/internal/bounded"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/ranks"
 	"github.com/apricothub/apricothub/internal/result"
@@ -125,11 +126,11 @@
 func New(vm string, peerPort int, cluster ClusterView, store *platform.Store, logger log.Logger) *Coordinator {
 	return &Coordinator{
 		vm: vm, peerPort: peerPort, cluster: cluster, store: store, logger: logger,
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: bounded.Transport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
 			MaxIdleConnsPerHost: 2,
 			IdleConnTimeout:     10 * time.Second,
-		}},
+		})},
 		groups:  make(map[string]*group),
 		agents:  make(map[string]*agentState),
 		groupOf: make(map[string]string),
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricothub/apricothub/decide/retry"
+	"github.com/apricothub/apricothub/internal/bounded"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/routing"
 	"github.com/apricothub/apricothub/internal/sse"
@@ -24,6 +25,10 @@
 	// maxBufferedBytes limits how much of an answer is buffered until it is whole. An answer up to
 	// this size that breaks off can be requested again without the caller noticing.
 	maxBufferedBytes = 1 << 20
+	// maxBufferedTotal limits what is buffered of all answers, maxBodiesTotal the bodies of all requests:
+	// together a fraction of the memory of the smallest VM.
+	maxBufferedTotal = 24 << 20
+	maxBodiesTotal   = 32 << 20
 	// maxRefusalBytes limits how much of a refusal's body is read; refusals are a sentence long.
 	maxRefusalBytes = 64 << 10
 	// copyBufferBytes is the size of the buffer that copies the rest of longer answers.
@@ -215,18 +220,23 @@
 	if a.answer.WrongServer {
 		a.serverOutcome = outcomeReplaced
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, maxRefusalBytes+1))
-	a.isWhole = err == nil && n <= maxRefusalBytes
+	a.isWhole = bounded.Discard(a.resp.Body, maxRefusalBytes, "a refusal") == nil
 	return notRun
 }
 
 // bufferAnswer reads an answer whole before the caller gets any of it.
 func (a *attempt) bufferAnswer() attemptOutcome {
-	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxBufferedBytes+1))
-	if err != nil {
-		return a.breakOff(err)
+	if a.resp.ContentLength > upstream.MaxResponseBytes {
+		return a.breakOff(&bounded.TooLargeError{What: upstream.AnswerBody, Limit: upstream.MaxResponseBytes})
 	}
-	if len(body) > maxBufferedBytes {
+	body, isWhole, err := a.g.buffers.Read(a.resp.Body, maxBufferedBytes)
+	a.t.buffered = append(a.t.buffered, body)
+	switch {
+	case err != nil:
+		return a.breakOff(err)
+	case !isWhole && a.resp.StatusCode >= http.StatusInternalServerError:
+		return a.breakOff(errLongError)
+	case !isWhole:
 		return a.passOnLong(body)
 	}
 	if a.isCutByEnd() {
@@ -317,6 +327,9 @@
 // process was paused.
 var errTokenExpired = errors.New("the token of the retry budget has expired")
 
+// errLongError is the error of an error answer that is too long to be kept while other servers are tried.
+var errLongError = errors.New("the error of the backend server is too long")
+
 // errCutByEnd is the error of an answer that ended with its connection, but not as a whole.
 var errCutByEnd = errors.New("the connection ended before the answer was whole")
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/oklog/run"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/internal/bounded"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/experts"
 	"github.com/apricothub/apricothub/internal/logging"
@@ -37,6 +38,8 @@
 	// were idle for up to a few seconds less than the platform's limits.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
+	// controlWriteTimeout limits the time of an answer to others than callers.
+	controlWriteTimeout = 10 * time.Second
 	// maxHeaderBytes limits a request's header.
 	maxHeaderBytes = 64 << 10
 	// maxPendingUpdates is the number of reads that may wait for the control goroutine.
@@ -55,13 +58,15 @@
 	store       *platform.Store
 	fleet       *fleet
 	pool        *upstream.Pool
-	ends        *endProber
-	prompts     *promptGuard
-	metrics     *counters
-	experts     *experts.Coordinator
-	listen      net.ListenConfig
-	socket      *net.UDPConn
-	peerClient  *http.Client
+	// buffers hold answers and bodies the bodies of requests.
+	buffers, bodies *bounded.Buffers
+	ends            *endProber
+	prompts         *promptGuard
+	metrics         *counters
+	experts         *experts.Coordinator
+	listen          net.ListenConfig
+	socket          *net.UDPConn
+	peerClient      *http.Client
 	// membersInterval is the constant of that name, except in tests.
 	membersInterval time.Duration
 	timing          storeTiming
@@ -97,13 +102,13 @@
 
 func newGateway(s *platform.Settings, logger log.Logger) *Gateway {
 	timing := newStoreTiming(s.Bounds)
-	transport := &http.Transport{
+	transport := bounded.Transport(&http.Transport{
 		DialContext:           (&net.Dialer{Timeout: storeTimeout, Control: upstream.SetTCPUserTimeout, KeepAliveConfig: upstream.KeepAliveConfig()}).DialContext,
 		MaxIdleConnsPerHost:   4,
 		IdleConnTimeout:       10 * time.Second,
 		DisableCompression:    true,
 		ResponseHeaderTimeout: timing.operatorsLongPoll + storeTimeout,
-	}
+	})
 	counters := newCounters()
 	g := &Gateway{
 		settings: s, logger: logger, incarnation: newIncarnation(time.Now()),
@@ -113,14 +118,15 @@
 			retry: retryLimits(s.Bounds),
 		}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		pool:    upstream.NewPool(connectTimeout),
+		buffers: bounded.NewBuffers(maxBufferedTotal), bodies: bounded.NewBuffers(maxBodiesTotal),
 		ends:    newEndProber(),
 		prompts: newPromptGuard(s.IP),
 		listen:  net.ListenConfig{Control: upstream.SetTCPUserTimeout, KeepAliveConfig: upstream.KeepAliveConfig()},
 		metrics: counters,
-		peerClient: &http.Client{Transport: &http.Transport{
+		peerClient: &http.Client{Transport: bounded.Transport(&http.Transport{
 			DialContext:       (&net.Dialer{Timeout: connectTimeout}).DialContext,
 			DisableKeepAlives: true,
-		}},
+		})},
 		membersInterval:   membersInterval,
 		timing:            timing,
 		askStore:          make(chan struct{}),
@@ -270,6 +276,9 @@
 	}
 }
 
+// callersEndpoint is the name of the endpoint for callers. Their requests have deadlines of their own.
+const callersEndpoint = "callers"
+
 // endpoint is one address that the process listens on.
 type endpoint struct {
 	name, address string
@@ -286,7 +295,7 @@
 	admin.HandleFunc("GET /metrics", g.serveMetrics)
 	admin.HandleFunc("GET /debug/state", g.serveDump)
 	all := []endpoint{
-		{"callers", g.settings.Listen.Callers, g},
+		{callersEndpoint, g.settings.Listen.Callers, g},
 		{"readiness", g.settings.Listen.Readiness, handle(platform.PathReady, g.serveReady)},
 		{"directory", g.settings.Listen.Directory, handle(platform.PathResolve, g.serveResolve)},
 		{"entries", g.peerAddress(g.settings.IP), handle(statePath, g.serveState)},
@@ -329,11 +338,15 @@
 }
 
 func (g *Gateway) newServer(e endpoint) *http.Server {
-	return &http.Server{
+	server := &http.Server{
 		Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: logging.NewStdLogger(logging.Part(g.logger, e.name), "The library for HTTP reports an error.",
 			result.Label(api.ResultCode_INTERNAL)),
 	}
+	if e.name != callersEndpoint {
+		server.ReadTimeout, server.WriteTimeout = headerTimeout, controlWriteTimeout
+	}
+	return server
 }
 
 // serveAll serves on all endpoints until ctx ends or another part of the process does, and then
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,6 +21,13 @@
 // defaultMaxBody limits a body in bytes if the configuration sets no limit.
 const defaultMaxBody = 4 << 20
 
+const (
+	// maxBodyTime limits the time for which the body of a request is read.
+	maxBodyTime = 30 * time.Second
+	// maxRequestTime limits a request for which neither the caller nor the route states a time.
+	maxRequestTime = time.Hour
+)
+
 // maxLoggedPath limits the path in a log line.
 const maxLoggedPath = 80
 
@@ -55,6 +62,8 @@
 	retryToken *retry.Token
 	// permit holds the parts of the prompt that this request tries.
 	permit quarantine.Permit
+	// buffered are the answers, or parts of them, that are held until the request ends.
+	buffered [][]byte
 	// out is the caller's side.
 	out *output
 }
@@ -81,6 +90,7 @@
 	}
 	t.out = &output{w: w, rc: http.NewResponseController(w), eventGaps: g.metrics.eventGaps}
 	g.awaitStart(r.Context(), t)
+	defer g.releaseBuffers(t)
 	if err := g.prepare(t, g.view.Load(), r); err != nil {
 		g.refuse(t, err)
 		return
@@ -140,7 +150,10 @@
 	if t.route.Timeout > 0 && (t.deadline == 0 || t.arrivedAt+t.route.Timeout < t.deadline) {
 		t.deadline = t.arrivedAt + t.route.Timeout
 	}
-	if err := t.readBody(r, v.table.Limits.BodyBytes); err != nil {
+	if t.deadline == 0 {
+		t.deadline = t.arrivedAt + maxRequestTime
+	}
+	if err := g.readBody(t, r, v.table.Limits.BodyBytes); err != nil {
 		return err
 	}
 	t.digest = digest(t.method, t.uri, t.body)
@@ -167,22 +180,37 @@
 
 // readBody reads the whole body before anything is sent: a backend server never waits for a slow
 // caller, and the request can be sent again.
-func (t *task) readBody(r *http.Request, limit int) *result.Error {
+func (g *Gateway) readBody(t *task, r *http.Request, limit int) *result.Error {
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(t.out.w, r.Body, int64(limit)))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return result.New(api.ResultCode_BODY_TOO_LARGE)
-		}
+	_ = t.out.rc.SetReadDeadline(time.Now().Add(min(maxBodyTime, timeLeft(t.deadline, clock.Now()))))
+	body, isWhole, err := g.bodies.Read(http.MaxBytesReader(t.out.w, r.Body, int64(limit)), limit)
+	t.body = body
+	// The library takes a later deadline for the end of the caller.
+	_ = t.out.rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return result.New(api.ResultCode_BODY_TOO_LARGE)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return result.New(api.ResultCode_DEADLINE_UNREACHABLE)
+	case err != nil:
 		return result.New(api.ResultCode_BAD_REQUEST)
+	case !isWhole:
+		return result.New(api.ResultCode_SATURATED)
 	}
-	t.body = body
 	return nil
 }
 
+// releaseBuffers releases what is held of a request and its answers.
+func (g *Gateway) releaseBuffers(t *task) {
+	g.bodies.Release(t.body)
+	for _, answer := range t.buffered {
+		g.buffers.Release(answer)
+	}
+}
+
 // forward sends a request to one backend server after another, until the caller has its answer or
 // no further attempt is allowed.
 func (g *Gateway) forward(ctx context.Context, t *task) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -5,7 +5,6 @@
 	"compress/gzip"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -17,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/internal/bounded"
 	"github.com/apricothub/apricothub/internal/result"
 )
 
@@ -177,7 +177,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("request peer state: status %d", resp.StatusCode)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBytes))
+	data, err := bounded.ReadAll(resp.Body, maxStateBytes, "the state of another entry")
 	if err != nil {
 		return nil, errors.Wrap(err, "request peer state")
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/internal/bounded"
 )
 
 // maxResponseBytes limits the size of one response.
@@ -49,10 +50,10 @@
 // New returns a client of the platform at a base URL. Each request may take up to timeout, in
 // addition to the time that it asks the platform to wait.
 func New(baseURL string, timeout time.Duration) *Client {
-	transport := &http.Transport{
+	transport := bounded.Transport(&http.Transport{
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     30 * time.Second,
-	}
+	})
 	return &Client{
 		baseURL:          strings.TrimSuffix(baseURL, "/"),
 		recordsPath:      "/log/records",
@@ -154,13 +155,13 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, c.maxResponseBytes+1))
+	data, err := bounded.ReadAll(resp.Body, c.maxResponseBytes, "the answer of the platform")
+	if bounded.IsTooLarge(err) {
+		return nil, ErrResponseTooLarge
+	}
 	if err != nil {
 		return nil, err
 	}
-	if int64(len(data)) > c.maxResponseBytes {
-		return nil, ErrResponseTooLarge
-	}
 	return &response{status: resp.StatusCode, body: data, etag: resp.Header.Get("ETag")}, nil
 }
 
--- a/internal/rankagent/rankagent.go
+++ b/internal/rankagent/rankagent.go
@@ -20,6 +20,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/internal/bounded"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/logging"
 	"github.com/apricothub/apricothub/internal/ranks"
@@ -34,6 +35,8 @@
 	maxRequestBytes = 4 << 20
 	// readTimeout limits the time to read a request.
 	readTimeout = 2 * time.Second
+	// writeTimeout limits the time from the end of its header to the end of the reply.
+	writeTimeout = 5 * time.Second
 	// idleTimeout is how long a connection of a coordinator may be idle.
 	idleTimeout = 30 * time.Second
 	// shutdownTimeout limits the time for requests in flight to complete at shutdown.
@@ -45,14 +48,14 @@
 	if s.Engine == "" {
 		return errors.New("the settings name no engine on this VM")
 	}
-	a := newAgent(platform.NewEngine(s.Engine, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}), logger)
+	a := newAgent(platform.NewEngine(s.Engine, &http.Client{Transport: bounded.Transport(&http.Transport{MaxIdleConnsPerHost: 2})}), logger)
 	lc := net.ListenConfig{Control: upstream.SetTCPUserTimeout, KeepAliveConfig: upstream.KeepAliveConfig()}
 	listener, err := lc.Listen(ctx, "tcp", net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)))
 	if err != nil {
 		return errors.Wrap(err, "listen for the coordinator")
 	}
 	server := &http.Server{
-		Handler: a.handler(), ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Handler: a.handler(), ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: bounded.MaxHeaderBytes,
 		ErrorLog: logging.NewStdLogger(logger, "The library for HTTP reports an error.", result.Label(api.ResultCode_INTERNAL)),
 	}
 	_ = level.Info(logger).Log("msg", "The process starts.", "failure_domain", s.FailureDomain, "engine", s.Engine)
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +14,7 @@
 
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/coord/mapswitch"
+	"github.com/apricothub/apricothub/internal/bounded"
 	"github.com/apricothub/apricothub/platform"
 )
 
@@ -106,7 +106,7 @@
 		return nil, errors.Wrap(err, "call rank agent")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	answer, err := bounded.ReadAll(resp.Body, maxReplyBytes, "the reply of a rank agent")
 	if err != nil {
 		return nil, errors.Wrap(err, "read rank reply")
 	}
--- a/internal/result/http.go
+++ b/internal/result/http.go
@@ -3,13 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/internal/bounded"
 )
 
 // Header is the response header with the result, set on every answer that apricothub itself makes.
@@ -90,7 +90,8 @@
 	}
 	e := New(api.ResultCode(code))
 	var body Body
-	if json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&body) != nil {
+	text, err := bounded.ReadAll(r.Body, maxBodyBytes, "the body of a result")
+	if err != nil || json.Unmarshal(text, &body) != nil {
 		return e
 	}
 	if body.Error.Message != "" {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/apricothub/apricothub/internal/bounded"
 )
 
 // ErrUnmatchedResponse is returned if a connection received responses to other requests only.
@@ -20,15 +22,30 @@
 	// read, since a backend server may respond before it has read a long body. A body up to this
 	// size fits into the socket's buffer.
 	asyncWriteBytes = 16 << 10
-	// maxUnmatchedResponses limits the responses that are read and skipped for one request.
+	// maxUnmatchedResponses limits the responses that are read and skipped for one request, and
+	// maxUnmatchedBytes the body of each.
 	maxUnmatchedResponses = 4
+	maxUnmatchedBytes     = 1 << 20
+)
+
+// MaxResponseBytes limits the body of a response.
+const MaxResponseBytes = 64 << 20
+
+// AnswerBody names the body of a response in errors about its length.
+const AnswerBody = "the body of a response"
+
+const (
+	answerHeader  = "the header of a response"
+	unmatchedBody = "the body of a response to another request"
 )
 
 // Conn is a connection to a backend server that carries one request at a time.
 type Conn struct {
 	net.Conn
-	pool      *Pool
-	server    string
+	pool   *Pool
+	server string
+	// in limits what is read, br reads from it.
+	in        *bounded.Reader
 	br        *bufio.Reader
 	idleSince time.Duration
 	// idleTimeout is how long the backend server keeps the connection open while idle; zero if
@@ -90,6 +107,7 @@
 		c.writeResult <- nil
 	}
 	for range maxUnmatchedResponses {
+		c.in.Allow(bounded.MaxHeaderBytes, answerHeader)
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
@@ -98,13 +116,15 @@
 			continue
 		}
 		if matches(resp) {
+			c.in.Allow(MaxResponseBytes, AnswerBody)
 			return resp, nil
 		}
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			// A response without a length extends to the end of the connection, past the next one.
 			return nil, ErrUnmatchedResponse
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		c.in.Allow(maxUnmatchedBytes, unmatchedBody)
+		if err := bounded.Discard(resp.Body, maxUnmatchedBytes, unmatchedBody); err != nil {
 			return nil, errors.Wrap(err, "skip unmatched response")
 		}
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/apricothub/apricothub/internal/bounded"
 	"github.com/apricothub/apricothub/internal/clock"
 )
 
@@ -95,7 +96,8 @@
 		p.releaseConn(server)
 		return nil, errors.Wrap(err, "connect")
 	}
-	return &Conn{Conn: conn, pool: p, server: server, br: bufio.NewReader(conn)}, nil
+	in := bounded.NewReader(conn, 0, answerHeader)
+	return &Conn{Conn: conn, pool: p, server: server, in: in, br: bufio.NewReader(in)}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, so that unneeded ones reach
