Check the retry budget in the soak of a site

The soak counts the streams that callers ask for and those that engines run again, and holds the sum of all gateways to the budget in any window, through all of its faults.

--- a/test/gateway_retrybudget_test.go
+++ b/test/gateway_retrybudget_test.go
@@ -40,12 +40,14 @@
 }
 
 // recordArrival records that a request arrives at a backend server, and returns how often it has arrived.
-func (m *retryMeter) recordArrival(id string) int {
+func (m *retryMeter) recordArrival(id string) int { return m.recordArrivalAt(id, time.Now()) }
+
+func (m *retryMeter) recordArrivalAt(id string, at time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.arrived[id]++
 	if m.arrived[id] > 1 {
-		m.repeats = append(m.repeats, time.Since(m.began))
+		m.repeats = append(m.repeats, at.Sub(m.began))
 	}
 	return m.arrived[id]
 }
--- a/test/site_soak_callers_test.go
+++ b/test/site_soak_callers_test.go
@@ -30,6 +30,7 @@
 		address = s.pick(addresses, address, caller%2 == 0, failed)
 		path := fmt.Sprintf("d%d-%d", caller, n)
 		began := time.Now()
+		s.retries.recordSent()
 		got := readStream(client, address, path)
 		got.path, got.address, got.began, got.ended = path, address, began, time.Now()
 		want := fakeplatform.EngineStream("/draft/" + path)
--- a/test/site_soak_checks_test.go
+++ b/test/site_soak_checks_test.go
@@ -103,6 +103,10 @@
 			s.t.Errorf("seed %d: %s got %d requests within a second from %s on, want at most %v", s.seed, id, count, start.Round(time.Millisecond), maxColdPerSecond)
 		}
 	}
+	for _, run := range s.group.Runs() {
+		s.retries.recordArrivalAt(run.Request, run.StartedAt)
+	}
+	s.retries.check(s.t)
 	state := s.group.State()
 	s.t.Logf("seed %d: %d drafts and %d pushes served, %d passes, %d versions of maps, faults %v",
 		s.seed, s.drafts, s.pushed, state.Passes, state.Versions, s.faultCounts)
--- a/test/site_soak_prompts_test.go
+++ b/test/site_soak_prompts_test.go
@@ -95,10 +95,12 @@
 		address := addresses.pick()
 		if n%3 == 0 {
 			s.callers.Go(func() {
+				s.retries.recordSent()
 				readStreamOf(client, address, deadlyPath, path, fmt.Sprintf("first:40,topic1:100,%s:20", deadlyPath))
 			})
 		}
 		s.callers.Go(func() {
+			s.retries.recordSent()
 			readStreamOf(client, address, path, path, fmt.Sprintf("first:40,topic%d:100,%s:60,%s:20", n%3, crashingPart, path))
 		})
 		time.Sleep(crashingInterval)
--- a/test/site_soak_test.go
+++ b/test/site_soak_test.go
@@ -54,6 +54,8 @@
 	pushes                  *pushLedger
 	statements              *serverStatements
 	prompts                 *crashingPrompts
+	// retries counts the streams that callers ask for, and those that engines run again.
+	retries *retryMeter
 	// arrivals holds the arrival times of each backend server that is treated as cold, by its ID.
 	arrivals  map[string]*arrivalTimes
 	startedAt time.Time
@@ -79,7 +81,7 @@
 	t.Helper()
 	s := &siteSoak{
 		seed: seed, pushes: &pushLedger{runs: make(map[string]int), rng: rand.New(rand.NewPCG(seed, 1))},
-		statements: newServerStatements(),
+		statements: newServerStatements(), retries: newRetryMeter(),
 		arrivals:   make(map[string]*arrivalTimes), startedAt: time.Now(), stop: make(chan struct{}),
 		outcomes: make(map[string]outcome), attemptIDs: make(map[string][]string), faultCounts: make(map[string]int),
 		history: &history.History{},
