--- a/test/site_soak_test.go
+++ b/test/site_soak_test.go
@@ -82,7 +82,7 @@
 	s := &siteSoak{
 		seed: seed, pushes: &pushLedger{runs: make(map[string]int), rng: rand.New(rand.NewPCG(seed, 1))},
 		statements: newServerStatements(), retries: newRetryMeter(),
-		arrivals:   make(map[string]*arrivalTimes), startedAt: time.Now(), stop: make(chan struct{}),
+		arrivals: make(map[string]*arrivalTimes), startedAt: time.Now(), stop: make(chan struct{}),
 		outcomes: make(map[string]outcome), attemptIDs: make(map[string][]string), faultCounts: make(map[string]int),
 		history: &history.History{},
 	}
