--- a/internal/gateway/retrybudget.go
+++ b/internal/gateway/retrybudget.go
@@ -79,6 +79,17 @@
 	return s
 }
 
+// retain forgets the services that are not configured any more.
+func (r *retryBudgets) retain(isConfigured func(service string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, s := range r.services {
+		if !isConfigured(name) && len(s.waiting) == 0 {
+			delete(r.services, name)
+		}
+	}
+}
+
 // countRequest counts a first attempt of a request of a service.
 func (r *retryBudgets) countRequest(service string, now time.Duration) {
 	r.mu.Lock()
--- a/internal/gateway/retrybudget_test.go
+++ b/internal/gateway/retrybudget_test.go
@@ -55,3 +55,14 @@
 		t.Errorf("only %d retries", retries)
 	}
 }
+
+// Services come and go with configurations, and their budgets pile up.
+func TestBudgetsOfRemovedServicesAreForgotten(t *testing.T) {
+	f := newTestFleet(3, 6, 1, 0)
+	f.retries.countRequest("app", 0)
+	f.retries.countRequest("gone", 0)
+	f.setServers(nil, nil, serviceTable(0), entryCounts{1, 1}, 0)
+	if left := f.retries.dump(); len(left) != 1 || left[0].Service != "app" {
+		t.Errorf("the budgets are %+v", left)
+	}
+}
