--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -4,11 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/decide/quarantine"
 	"github.com/apricothub/apricothub/decide/retry"
@@ -18,16 +15,6 @@
 	"github.com/apricothub/apricothub/platform"
 )
 
-// defaultMaxBody limits a body in bytes if the configuration sets no limit.
-const defaultMaxBody = 4 << 20
-
-const (
-	// maxBodyTime limits the time for which the body of a request is read.
-	maxBodyTime = 30 * time.Second
-	// maxRequestTime limits a request for which neither the caller nor the route states a time.
-	maxRequestTime = time.Hour
-)
-
 // maxLoggedPath limits the path in a log line.
 const maxLoggedPath = 80
 
@@ -178,39 +165,6 @@
 	return nil
 }
 
-// readBody reads the whole body before anything is sent: a backend server never waits for a slow
-// caller, and the request can be sent again.
-func (g *Gateway) readBody(t *task, r *http.Request, limit int) *result.Error {
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	_ = t.out.rc.SetReadDeadline(time.Now().Add(min(maxBodyTime, timeLeft(t.deadline, clock.Now()))))
-	body, isWhole, err := g.bodies.Read(http.MaxBytesReader(t.out.w, r.Body, int64(limit)), limit)
-	t.body = body
-	// The library takes a later deadline for the end of the caller.
-	_ = t.out.rc.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return result.New(api.ResultCode_BODY_TOO_LARGE)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return result.New(api.ResultCode_DEADLINE_UNREACHABLE)
-	case err != nil:
-		return result.New(api.ResultCode_BAD_REQUEST)
-	case !isWhole:
-		return result.New(api.ResultCode_SATURATED)
-	}
-	return nil
-}
-
-// releaseBuffers releases what is held of a request and its answers.
-func (g *Gateway) releaseBuffers(t *task) {
-	g.bodies.Release(t.body)
-	for _, answer := range t.buffered {
-		g.buffers.Release(answer)
-	}
-}
-
 // forward sends a request to one backend server after another, until the caller has its answer or
 // no further attempt is allowed.
 func (g *Gateway) forward(ctx context.Context, t *task) {
@@ -285,104 +239,6 @@
 	}
 }
 
-// chargeRetry charges the retry budget for another attempt of a request, given the outcome of the last one,
-// and reports whether the budget allows it. The first attempt that reaches a backend server is free.
-func (g *Gateway) chargeRetry(ctx context.Context, t *task, outcome attemptOutcome) bool {
-	if outcome == unsent {
-		// The token of this attempt was not used, and may have expired since.
-		g.returnRetryToken(t)
-	}
-	if t.history.sent == 0 {
-		g.metrics.uncharged.Inc(1)
-		return true
-	}
-	token, ok := g.fleet.retries.await(ctx, t.service)
-	if ok {
-		t.retryToken = &token
-	}
-	return ok
-}
-
-// returnRetryToken gives the token of an attempt that sent nothing back to the retry budget.
-func (g *Gateway) returnRetryToken(t *task) {
-	if t.retryToken != nil {
-		g.fleet.retries.giveBack(t.service, *t.retryToken)
-		t.retryToken = nil
-	}
-}
-
-// awaitRetry waits until a request may be sent to another backend server, and picks it.
-func (g *Gateway) awaitRetry(ctx context.Context, t *task, outcome attemptOutcome) (placement, *result.Error) {
-	if err := g.prompts.await(ctx, t, maxRetryServerWait); err != nil {
-		return placement{}, err
-	}
-	return g.waitForRetryServer(ctx, t, outcome)
-}
-
-// countRetry counts a request that is sent to another backend server.
-func (g *Gateway) countRetry(t *task) {
-	g.metrics.retries.Inc(1)
-	if t.out.begun {
-		g.metrics.resumed.Inc(1)
-	}
-}
-
-const (
-	// maxRetryServerWait is how long a request waits at most for another backend server after its
-	// first attempt, and retryServerInterval how often it checks for one.
-	maxRetryServerWait  = time.Second
-	retryServerInterval = 25 * time.Millisecond
-	// maxFallbackWaitRatio limits that wait, for a request that has the error answer of a server, to
-	// this fraction of the time left: a caller that gets the error in time may still try again.
-	maxFallbackWaitRatio = 0.5
-)
-
-// pickAgain picks a backend server for another attempt of a request, given the outcome of the last one.
-func (g *Gateway) pickAgain(t *task, outcome attemptOutcome, now time.Duration) (placement, api.ResultCode) {
-	if outcome == notRun && g.fleet.awaitsReport(t.tried[len(t.tried)-1], now) {
-		return placement{}, api.ResultCode_SATURATED
-	}
-	req := pickRequest{service: t.service, tried: t.tried, timeLeft: timeLeft(t.deadline, now)}
-	s, code := g.fleet.pickForRetry(req, now)
-	if code != api.ResultCode_OK && outcome == serverError {
-		req.tried = nil
-		s, code = g.fleet.pickForRetry(req, now)
-	}
-	return s, code
-}
-
-// waitForRetryServer picks a backend server for another attempt of a request that is already admitted,
-// given the outcome of the last one. If none is available, it waits for one, for maxRetryServerWait at
-// most, also if the caller already has part of the answer.
-//
-// A server that has returned an error is tried again if there is no other one, as when a failure domain
-// of a small service is out: errors of a few requests in a hundred need not repeat.
-func (g *Gateway) waitForRetryServer(ctx context.Context, t *task, outcome attemptOutcome) (placement, *result.Error) {
-	began := clock.Now()
-	maxWait := maxRetryServerWait
-	if t.out.fallback != nil && t.deadline > 0 {
-		maxWait = min(maxWait, time.Duration(maxFallbackWaitRatio*float64(timeLeft(t.deadline, began))))
-	}
-	for {
-		now := clock.Now()
-		s, code := g.pickAgain(t, outcome, now)
-		if code == api.ResultCode_OK {
-			return s, nil
-		}
-		if now-began > maxWait {
-			return placement{}, result.New(code)
-		}
-		if refused := g.fleet.refuseRetry(t.service, maxWait-(now-began), now); refused != nil {
-			return placement{}, refused
-		}
-		select {
-		case <-ctx.Done():
-			return placement{}, result.New(code)
-		case <-time.After(retryServerInterval):
-		}
-	}
-}
-
 // giveUp gives a request its final answer when no further attempt is made.
 func (g *Gateway) giveUp(ctx context.Context, t *task, err *result.Error) {
 	switch {
