Wait longer for a retry from the reserve while the store is slow

A claim takes two calls of the store, and a request waited 300 ms for it at most, whatever its deadline: with a store that takes 200 ms a call no request was sent again, though seconds were left. It waits for a quarter of its time left now, 1 s at most; a reserve that is known to be spent and a store that does not answer are still told at once. TestRetriesAreClaimedFromASlowStore failed before (500, the server's own error).

--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -99,7 +99,8 @@
 		g.metrics.uncharged.Inc(1)
 		return true
 	}
-	token, ok := g.fleet.retries.await(ctx, t.service)
+	maxWait := min(maxClaimWait, time.Duration(maxClaimWaitRatio*float64(timeLeft(t.deadline, clock.Now()))))
+	token, ok := g.fleet.retries.await(ctx, t.service, maxWait)
 	if ok {
 		t.retryToken = &token
 	}
--- a/internal/gateway/retrybudget.go
+++ b/internal/gateway/retrybudget.go
@@ -18,9 +18,10 @@
 )
 
 const (
-	// maxClaimWait is how long a request waits at most for a token from the reserve: a few calls to the
-	// store, and little of the shortest deadline.
-	maxClaimWait = 300 * time.Millisecond
+	// maxClaimWait is how long a request waits at most for a token from the reserve, and maxClaimWaitRatio the
+	// fraction of its time left.
+	maxClaimWait      = time.Second
+	maxClaimWaitRatio = 0.25
 	// maxClaimWaiters limits the requests of a service that wait for one.
 	maxClaimWaiters = 256
 	// defaultRetryWindow is the window of the retry budget if the settings give none.
@@ -133,9 +134,9 @@
 	r.service(service).budget.GiveBack(t)
 }
 
-// await takes a token. If there is none, it waits until one is claimed from the reserve, and reports whether
-// it has got one.
-func (r *retryBudgets) await(ctx context.Context, service string) (retry.Token, bool) {
+// await takes a token. If there is none, it waits until one is claimed from the reserve, at most for maxWait,
+// and reports whether it has got one.
+func (r *retryBudgets) await(ctx context.Context, service string, maxWait time.Duration) (retry.Token, bool) {
 	r.mu.Lock()
 	s := r.service(service)
 	now := clock.Now()
@@ -152,7 +153,7 @@
 	s.waiting = append(s.waiting, granted)
 	r.requestClaim()
 	r.mu.Unlock()
-	timer := time.NewTimer(maxClaimWait)
+	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
 	select {
 	case g := <-granted:
--- a/internal/gateway/retryclaims_test.go
+++ b/internal/gateway/retryclaims_test.go
@@ -70,7 +70,7 @@
 func timeAwait(t *testing.T, e *entry) (time.Duration, bool) {
 	t.Helper()
 	began := time.Now()
-	_, ok := e.fleet.retries.await(t.Context(), "app")
+	_, ok := e.fleet.retries.await(t.Context(), "app", maxClaimWait)
 	return time.Since(began), ok
 }
 
@@ -122,3 +122,22 @@
 		return ok
 	})
 }
+
+// The store is slow, and the retry of a request with seconds to go is lost before it answers.
+func TestRetriesAreClaimedFromASlowStore(t *testing.T) {
+	t.Parallel()
+	store := fakeplatform.NewStore(t)
+	store.Configure(1, fakeplatform.Routes(), "key-1")
+	handler := failFirst()
+	for _, id := range []string{"i-a", "i-b"} {
+		store.Serve(t, id, handler)
+	}
+	endpoint := store.NewEndpoint(t)
+	settings := settingsFor(store)
+	settings.Store.Address = endpoint.Address
+	e := start(t, settings)
+	endpoint.DelayMs.Store(200)
+	if r := e.ask("GET", "/look/x", "r1"); r.status != http.StatusOK {
+		t.Errorf("got %s", r)
+	}
+}
--- a/test/fakeplatform/store.go
+++ b/test/fakeplatform/store.go
@@ -53,7 +53,9 @@
 type Endpoint struct {
 	Address     string
 	Unavailable atomic.Bool
-	Calls       atomic.Int64
+	// DelayMs is the time in milliseconds that each call takes longer.
+	DelayMs atomic.Int64
+	Calls   atomic.Int64
 	// InFlight counts the calls in flight.
 	InFlight atomic.Int64
 }
@@ -70,6 +72,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		time.Sleep(time.Duration(e.DelayMs.Load()) * time.Millisecond)
 		handler.ServeHTTP(w, r)
 	}))
 	report.Cleanup(server.Close)
