--- a/test/gateway_endless_test.go
+++ b/test/gateway_endless_test.go
@@ -90,8 +90,11 @@
 					defer wg.Done()
 					client := &http.Client{Timeout: 5 * time.Second}
 					for n := range requests {
-						if fakeplatform.Send(client, s.gateways[caller%2].ip, c.path, fmt.Sprintf("%d-%d", caller, n)) == http.StatusOK {
+						status := fakeplatform.Send(client, s.gateways[caller%2].ip, c.path, fmt.Sprintf("%d-%d", caller, n))
+						if status == http.StatusOK {
 							served.Add(1)
+						} else {
+							t.Logf("request %d-%d got status %d", caller, n, status)
 						}
 					}
 				}()
