Let requests wait on when others claim from the reserve at the same time

Three writes in a row that met a changed ledger counted as a store that does not answer: all requests that waited were refused, and none was sent again for a second or more. Where many entries claim at once that is the usual case. They wait for the next claim now, and the shutdown is not logged as a failed claim.

--- a/internal/gateway/retrybudget.go
+++ b/internal/gateway/retrybudget.go
@@ -179,7 +179,7 @@
 	return retry.Token{}, false
 }
 
-// requestClaim has tokens claimed. The caller holds the lock.
+// requestClaim has tokens claimed.
 func (r *retryBudgets) requestClaim() {
 	select {
 	case r.needed <- struct{}{}:
--- a/internal/gateway/retryclaims.go
+++ b/internal/gateway/retryclaims.go
@@ -37,27 +37,19 @@
 
 // maintainRetryClaims claims retries from the reserves in the store while requests need them.
 func (g *Gateway) maintainRetryClaims(ctx context.Context) error {
-	retries, backoff := g.fleet.retries, minClaimBackoff
+	backoff := minClaimBackoff
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-retries.needed:
+		case <-g.fleet.retries.needed:
 		}
-		for service, wanted := range retries.wanted() {
+		for service, wanted := range g.fleet.retries.wanted() {
 			err := g.claimRetries(ctx, service, wanted)
-			now := clock.Now()
-			switch {
-			case err == nil:
-				backoff = minClaimBackoff
-			case errors.Is(err, errReserveSpent):
-				retries.refuse(service, retries.nextRoom(service, now), now)
-			default:
-				_ = level.Warn(retries.logger).Log("msg", "No retries could be claimed from the reserve in the store.", "service", service, "err", err,
-					"result", result.Label(api.ResultCode_LOG_UNAVAILABLE))
-				retries.refuse(service, now+max(backoff, g.maxStoreBackoff()), now)
-				backoff = min(2*backoff, maxClaimBackoff)
+			if ctx.Err() != nil {
+				return ctx.Err()
 			}
+			backoff = g.endClaim(service, err, backoff, clock.Now())
 		}
 		if err := sleep(ctx, g.claimInterval()); err != nil {
 			return err
@@ -65,6 +57,27 @@
 	}
 }
 
+// endClaim tells the requests of a service that wait what became of a claim. backoff is the time without
+// claims if the store has not answered; endClaim returns it for the next time.
+func (g *Gateway) endClaim(service string, err error, backoff, now time.Duration) time.Duration {
+	retries := g.fleet.retries
+	switch {
+	case err == nil:
+		return minClaimBackoff
+	case errors.Is(err, errReserveSpent):
+		retries.refuse(service, retries.nextRoom(service, now), now)
+		return backoff
+	case errors.Is(err, platform.ErrOffsetMismatch):
+		// Others have claimed each time; the requests wait for the next claim.
+		retries.requestClaim()
+		return backoff
+	}
+	_ = level.Warn(retries.logger).Log("msg", "No retries could be claimed from the reserve in the store.", "service", service, "err", err,
+		"result", result.Label(api.ResultCode_LOG_UNAVAILABLE))
+	retries.refuse(service, now+max(backoff, g.maxStoreBackoff()), now)
+	return min(2*backoff, maxClaimBackoff)
+}
+
 // claimInterval returns the time between two claims of this entry.
 func (g *Gateway) claimInterval() time.Duration {
 	perSecond := g.settings.Store.WritesPerSecond * claimCallsRatio
