--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -187,6 +187,7 @@
 	for {
 		if d := g.prompts.acquire(t, clock.Now()); d.Action != quarantine.Send {
 			g.fleet.endAttempt(s.ID, outcomeUnknown, 0, clock.Now())
+			g.returnRetryToken(t)
 			g.giveUp(ctx, t, refusedPrompt(d))
 			return
 		}
