Claim from the reserve as soon as a request needs it, also among many entries

An entry claimed once in (entries / a tenth of the store's writes): 2.5 s among 99 entries at 400 writes a second, while a request waits for 1 s at most. So a second failure soon after a first one lost its retry although the reserve was untouched. That pace is needed only while the reserve is spent, when all entries that look for room find little; else the reserve itself bounds the claims. It keeps the tenth there, and entries that begin together no longer go on together.

That this pace was the reason is not shown.

--- a/internal/gateway/retryclaims.go
+++ b/internal/gateway/retryclaims.go
@@ -23,10 +23,11 @@
 	// maxClaimPause the random pause between two of them.
 	maxClaimTries = 3
 	maxClaimPause = 30 * time.Millisecond
-	// claimCallsRatio is the part of the store's write calls that the claims of all entries may take, and
-	// defaultClaimsPerSecond the number of these calls if the settings state no limit.
-	claimCallsRatio        = 0.1
-	defaultClaimsPerSecond = 50
+	// defaultWritesPerSecond is the store's limit of write calls if the settings state none.
+	defaultWritesPerSecond = 400
+	// spentReserveRatio is the part of these calls that the claims of all entries may take while the reserve is
+	// spent and they look for room.
+	spentReserveRatio = 0.1
 	// minClaimBackoff and maxClaimBackoff limit the time without claims after the store has not answered.
 	minClaimBackoff = time.Second
 	maxClaimBackoff = 8 * time.Second
@@ -51,7 +52,7 @@
 			}
 			backoff = g.endClaim(service, err, backoff, clock.Now())
 		}
-		if err := sleep(ctx, g.claimInterval()); err != nil {
+		if err := sleep(ctx, g.claimInterval(1)); err != nil {
 			return err
 		}
 	}
@@ -65,7 +66,7 @@
 	case err == nil:
 		return minClaimBackoff
 	case errors.Is(err, errReserveSpent):
-		retries.refuse(service, retries.nextRoom(service, now), now)
+		retries.refuse(service, max(retries.nextRoom(service, now), now+g.claimInterval(spentReserveRatio)), now)
 		return backoff
 	case errors.Is(err, platform.ErrOffsetMismatch):
 		// Others have claimed each time; the requests wait for the next claim.
@@ -78,17 +79,19 @@
 	return min(2*backoff, maxClaimBackoff)
 }
 
-// claimInterval returns the time between two claims of this entry.
-func (g *Gateway) claimInterval() time.Duration {
-	perSecond := g.settings.Store.WritesPerSecond * claimCallsRatio
+// claimInterval returns the time between two claims of this entry with which the claims of all entries take the
+// given part of the store's write calls. It is random, so that entries that begin together do not go on so.
+func (g *Gateway) claimInterval(ratio float64) time.Duration {
+	perSecond := g.settings.Store.WritesPerSecond
 	if perSecond <= 0 {
-		perSecond = defaultClaimsPerSecond
+		perSecond = defaultWritesPerSecond
 	}
 	entries := 1
 	if v := g.view.Load(); v != nil {
 		entries = max(v.entries, 1)
 	}
-	return time.Duration(float64(entries) / perSecond * float64(time.Second))
+	mean := float64(entries) / (perSecond * ratio) * float64(time.Second)
+	return time.Duration(mean * (0.5 + rand.Float64()))
 }
 
 // claimRetries claims the wanted number of retries of a service, or fewer, from its reserve.
