Let streams leave a slow engine by half of the reserve of retries

Requests that move away from a slow engine need a spare token, and only earned ones counted as spare. A token is claimed for them now while half of the reserve is left.

--- a/decide/retry/budget.go
+++ b/decide/retry/budget.go
@@ -121,7 +121,7 @@
 // HasSpare reports whether there is a token for a retry that is of use but not needed to answer the request.
 func (b *Budget) HasSpare(now time.Duration) bool {
 	b.expire(now)
-	return sum(b.earned) >= max(wholeToken, spareRatio*sum(b.total))
+	return len(b.whole) > 0 || sum(b.earned) >= max(wholeToken, spareRatio*sum(b.total))
 }
 
 // Spend takes a token, and reports whether there was one. Claimed ones go first: they expire sooner.
--- a/decide/retry/ledger.go
+++ b/decide/retry/ledger.go
@@ -33,14 +33,18 @@
 	reserve int
 	// countsFor is how long a claim counts.
 	countsFor time.Duration
+	// left is what was left of the reserve when the ledger was last read, at readAt.
+	left   int
+	readAt time.Duration
 	// standsSince is since when a claim has stood at least, by its ID.
 	standsSince map[uint64]time.Duration
 }
 
 // NewLedger returns the ledger of a service as a process sees it that has read nothing yet.
 func NewLedger(l Limits) *Ledger {
+	reserve := int(l.Reserve * reserveFraction)
 	return &Ledger{
-		reserve: int(l.Reserve * reserveFraction), countsFor: l.Window + ClaimLifetime + maxArrivalLag,
+		reserve: reserve, left: reserve, countsFor: l.Window + ClaimLifetime + maxArrivalLag,
 		standsSince: make(map[uint64]time.Duration),
 	}
 }
@@ -60,12 +64,19 @@
 		claims = append(claims, Claim{ID: c.ID, Tokens: c.Tokens, Age: age})
 	}
 	tokens = min(wanted, left, max(1, int(maxClaimFraction*float64(l.reserve))))
+	l.left, l.readAt = left-max(tokens, 0), now
 	if tokens <= 0 {
 		return claims, 0
 	}
 	return append(claims, Claim{ID: id, Tokens: tokens}), tokens
 }
 
+// HasSpare reports whether a token may be claimed for a retry that is of use but not needed to answer the
+// request: half of the reserve is for the others.
+func (l *Ledger) HasSpare(now time.Duration) bool {
+	return float64(l.left) > spareRatio*float64(l.reserve) || now-l.readAt >= l.countsFor
+}
+
 // update notes since when the claims that were read have stood, and forgets all others.
 func (l *Ledger) update(read []Claim, now time.Duration) {
 	standsSince := make(map[uint64]time.Duration, len(read))
--- a/decide/retry/retry_test.go
+++ b/decide/retry/retry_test.go
@@ -251,3 +251,21 @@
 		})
 	}
 }
+
+// Retries that only speed up requests drain the reserve that failed requests need.
+func TestHalfOfTheReserveIsForRequestsThatNeedIt(t *testing.T) {
+	l := NewLedger(testLimits)
+	var claims []Claim
+	drawn := 0
+	for id := uint64(1); l.HasSpare(0) && id < 1000; id++ {
+		var tokens int
+		claims, tokens = l.Draw(claims, id, 1, 0)
+		drawn += tokens
+	}
+	if want := int(testLimits.Reserve * reserveFraction / 2); drawn < want-1 || drawn > want+1 {
+		t.Errorf("%d tokens were spare, want %d", drawn, want)
+	}
+	if !l.HasSpare(l.countsFor) {
+		t.Error("nothing is spare after all claims have ceased to count")
+	}
+}
--- a/internal/gateway/retrybudget.go
+++ b/internal/gateway/retrybudget.go
@@ -113,11 +113,20 @@
 	return false
 }
 
-// hasSpare reports whether there is a token for a retry that is of use but not needed.
+// hasSpare reports whether there is a token for a retry that is of use but not needed. If there is none, one
+// will be claimed while half of the reserve is left.
 func (r *retryBudgets) hasSpare(service string, now time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.service(service).budget.HasSpare(now)
+	s := r.service(service)
+	if s.budget.HasSpare(now) {
+		return true
+	}
+	if now >= s.deniedUntil && s.ledger.HasSpare(now) {
+		s.isWanted = true
+		r.requestClaim()
+	}
+	return false
 }
 
 // spend takes a token, and reports whether there was one.
