--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 // cases are the cases by name. Each returns the breaks of its rule.
 var cases = map[string]func(*fleet) ([]string, error){
 	"repeated-refusals": repeatedRefusals,
+	"cut-answers":       cutAnswers,
 }
 
 func main() {
