--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(*fleet) ([]string, error){
 	"repeated-refusals": repeatedRefusals,
 	"cut-answers":       cutAnswers,
+	"slow-readers":      slowReaders,
 }
 
 func main() {
