--- a/review/standin/cutanswers.go
+++ b/review/standin/cutanswers.go
@@ -15,10 +15,13 @@
 	replacementDelay = 4 * time.Second
 	// roundPause is the time between a replacement and the next notice.
 	roundPause = 2 * time.Second
+	// unframedPlaces is the number of places whose workers send some answers without a length.
+	unframedPlaces = 9
 )
 
 // cutAnswers: four of sixteen workers are told to leave, and are gone two seconds later; others come four seconds
-// after that. That happens three times. One answer in 20 has no length and ends with its connection.
+// after that. That happens three times. At nine of the sixteen places, one answer in 20 has no length and ends with
+// its connection.
 func cutAnswers(f *fleet) ([]string, error) {
 	var err error
 	if f.store, err = newStore(f.newIP()); err != nil {
@@ -64,7 +67,8 @@
 
 // spotWorker is a worker that may be taken away.
 type spotWorker struct {
-	name string
+	name  string
+	place int
 	*process
 }
 
@@ -72,8 +76,12 @@
 
 // startSpotWorker starts the n-th worker, at a place.
 func (f *fleet) startSpotWorker(n, place int) (*spotWorker, error) {
-	p, err := f.startWorker(spotName(n), []string{"zone-a", "zone-b"}[place%2], "-unframed-every", "20")
-	return &spotWorker{spotName(n), p}, err
+	var flags []string
+	if place < unframedPlaces {
+		flags = []string{"-unframed-every", "20"}
+	}
+	p, err := f.startWorker(spotName(n), []string{"zone-a", "zone-b"}[place%2], flags...)
+	return &spotWorker{spotName(n), place, p}, err
 }
 
 // replace takes workers away after a notice, and starts others in their place, the first of them as the n-th. With
@@ -97,7 +105,7 @@
 	time.Sleep(replacementDelay - 3*heartbeatInterval)
 	for i := range workers {
 		var err error
-		if workers[i], err = f.startSpotWorker(n+i, i); err != nil {
+		if workers[i], err = f.startSpotWorker(n+i, workers[i].place); err != nil {
 			return err
 		}
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -42,8 +42,9 @@
 	id, service, address, zone, store string
 	concurrency                       int
 	// repeatShare is the share of its answers that the worker sends twice, refusals only; zero for none. It does so
-	// for repeatFor from each of the times in repeatFrom on, which are Unix milliseconds. The second answer arrives late, at the point where the
-	// next answer on the connection is expected. It lacks the ID of its request unless repeatID is set.
+	// for repeatFor from each of the times in repeatFrom on, which are Unix milliseconds. The second answer arrives
+	// late, at the point where the next answer on the connection is expected. It lacks the ID of its request unless
+	// repeatID is set.
 	repeatShare          float64
 	repeatFrom           []int64
 	repeatID             bool
