review/standin-2: end the processes of a case when it is told to stop

Cause: a script that was stopped from outside left its gateways and workers running. Change: SIGTERM and SIGINT end the case; a worker ends with the process that started it.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -47,6 +47,7 @@
 		return statusCannot
 	}
 	defer r.close()
+	go r.endOnSignal()
 	defer func() {
 		if reason := recover(); reason != nil {
 			failed, isSetup := reason.(setupError)
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -9,10 +9,12 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/apricothub/apricothub/internal/bounded"
@@ -52,8 +54,9 @@
 	workers  []*worker
 	broken   []string
 	// closers end what else was started, done is closed before that.
-	closers []func()
-	done    chan struct{}
+	closers   []func()
+	done      chan struct{}
+	closeOnce sync.Once
 	// ports are those of the gateways, the same at all addresses.
 	ports []int
 	// ran are the requests that workers have begun to run.
@@ -122,8 +125,20 @@
 	return n == 0
 }
 
+// endOnSignal ends the case when it is told to stop.
+func (r *rig) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	r.note("the case was stopped by a signal")
+	r.close()
+	os.Exit(statusCannot)
+}
+
 // close ends all processes that the rig started.
-func (r *rig) close() {
+func (r *rig) close() { r.closeOnce.Do(r.closeAll) }
+
+func (r *rig) closeAll() {
 	close(r.done)
 	for _, end := range r.closers {
 		end()
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -145,7 +145,8 @@
 	}
 }
 
-// obey reads from the standard input for how many milliseconds some answers are spoiled.
+// obey reads from the standard input for how many milliseconds some answers are spoiled. At its end, the process
+// that started the worker is gone.
 func (s *server) obey() {
 	lines := bufio.NewScanner(os.Stdin)
 	for lines.Scan() {
@@ -153,6 +154,7 @@
 			s.spoiledUntil.Store(time.Now().UnixMilli() + ms)
 		}
 	}
+	os.Exit(statusHeld)
 }
 
 // statusOf returns the status of the next answer.
