Require keys whenever the configuration lists tenants, also none

Cause: whether requests need a key was derived from the number of teams. A list without entries and no list decode to the same empty slice.

A table with teams always requires keys. The empty key of a team is nobody's: it matched every request without a key. Routes that allow anonymous requests stay open.

Other readers of the configuration: entries with agents look up each key and have no such default; names of teams for shares come from the keys.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -151,7 +151,7 @@
 // findTeam finds the team of a request and its rank.
 func (t *task) findTeam(table *routing.Table) *result.Error {
 	t.rank = table.Rank(t.route, nil)
-	if !table.HasTeams() {
+	if !table.RequiresKeys() {
 		return nil
 	}
 	team := table.Team(t.Key)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -159,8 +159,11 @@
 	Version  int64
 	Routes   []Route
 	Services []Service
-	Teams    []Team
-	Limits   Limits
+	// RequiresKeys means that requests need the key of a team, unless their route is anonymous, also while
+	// there is no team. It is implied if there is one.
+	RequiresKeys bool
+	Teams        []Team
+	Limits       Limits
 }
 
 // Table finds routes, services and teams of one configuration.
@@ -173,9 +176,10 @@
 	maxPauses map[string]time.Duration
 	callTimes map[string]time.Duration
 	// ranks holds the ranks of requests by priorities, rankCounts the number of ranks by service.
-	ranks      map[rankKey]int
-	rankCounts map[string]int
-	teamCount  int
+	ranks        map[rankKey]int
+	rankCounts   map[string]int
+	teamCount    int
+	requiresKeys bool
 }
 
 // NewTable returns the Table of a configuration, which must not change afterwards.
@@ -189,7 +193,8 @@
 		maxPauses: make(map[string]time.Duration),
 		callTimes: make(map[string]time.Duration),
 
-		teamCount: len(cfg.Teams),
+		teamCount:    len(cfg.Teams),
+		requiresKeys: cfg.RequiresKeys || len(cfg.Teams) > 0,
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
@@ -212,7 +217,10 @@
 	}
 	for i := range cfg.Teams {
 		for _, key := range cfg.Teams[i].Keys {
-			t.keys[key] = &cfg.Teams[i]
+			// The empty key would be that of all requests without one.
+			if key != "" {
+				t.keys[key] = &cfg.Teams[i]
+			}
 		}
 	}
 	t.setRanks(cfg)
@@ -263,5 +271,5 @@
 	return names
 }
 
-// HasTeams reports whether any team is configured, so that requests need a key.
-func (t *Table) HasTeams() bool { return t.teamCount > 0 }
+// RequiresKeys reports whether requests need the key of a team, unless their route is anonymous.
+func (t *Table) RequiresKeys() bool { return t.requiresKeys }
