Tell silent peers from slow readers, in place of TCP_USER_TIMEOUT

Cause: TCP_USER_TIMEOUT of 1.5 s, meant for connections that have gone silent, on the listeners of gateways and rank agents and on the connections to backend servers and the store. Linux also ends a connection by it while the peer's window stays closed, though the peer answers each probe, and it does so after the process has ended, to what the kernel still had to deliver.

Change: internal/sockets opens connections without it. Listeners leave a caller that takes nothing to the write deadline of its request. Dialed connections are checked each 500 ms from a write until the peer has acknowledged everything, by what the kernel knows (TCP_INFO): the peer is silent if it acknowledges nothing for 1.5 s and the last transmission, or two probes of its closed window, got no answer. The decision is a state machine without sockets. Reads and writes then return ErrSilentPeer. Multipath TCP, which the library would now choose for listeners, is off as before.

Ruled out: a longer TCP_USER_TIMEOUT, which only moves the pause that is borne; keep-alive probes alone, which Linux does not send while data waits.

Evidence: with TCP_USER_TIMEOUT put back on a scratch copy, TestSlowCallersGetWholeAnswers loses 8 of 8 answers (streams, calls, before and after the signal) and TestASlowReaderGetsEverything both of its directions; all pass now.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/experts"
 	"github.com/apricothub/apricothub/internal/logging"
+	"github.com/apricothub/apricothub/internal/sockets"
 	"github.com/apricothub/apricothub/internal/upstream"
 	"github.com/apricothub/apricothub/platform"
 )
@@ -94,7 +95,7 @@
 func newGateway(s *platform.Settings, logger log.Logger) *Gateway {
 	timing := newStoreTiming(s.Bounds)
 	transport := bounded.Transport(&http.Transport{
-		DialContext:           (&net.Dialer{Timeout: storeTimeout, Control: upstream.SetTCPUserTimeout, KeepAliveConfig: upstream.KeepAliveConfig()}).DialContext,
+		DialContext:           sockets.NewDialer(storeTimeout).DialContext,
 		MaxIdleConnsPerHost:   4,
 		IdleConnTimeout:       10 * time.Second,
 		DisableCompression:    true,
@@ -112,7 +113,7 @@
 		buffers: bounded.NewBuffers(maxBufferedTotal), bodies: bounded.NewBuffers(maxBodiesTotal),
 		ends:    newEndProber(),
 		prompts: newPromptGuard(s.IP),
-		listen:  net.ListenConfig{Control: upstream.SetTCPUserTimeout, KeepAliveConfig: upstream.KeepAliveConfig()},
+		listen:  sockets.NewListenConfig(),
 		metrics: counters,
 		peerClient: &http.Client{Transport: bounded.Transport(&http.Transport{
 			DialContext:       (&net.Dialer{Timeout: connectTimeout}).DialContext,
--- a/internal/rankagent/rankagent.go
+++ b/internal/rankagent/rankagent.go
@@ -25,8 +25,8 @@
 	"github.com/apricothub/apricothub/internal/logging"
 	"github.com/apricothub/apricothub/internal/ranks"
 	"github.com/apricothub/apricothub/internal/result"
+	"github.com/apricothub/apricothub/internal/sockets"
 	"github.com/apricothub/apricothub/internal/textmetrics"
-	"github.com/apricothub/apricothub/internal/upstream"
 	"github.com/apricothub/apricothub/platform"
 )
 
@@ -49,7 +49,7 @@
 		return errors.New("the settings name no engine on this VM")
 	}
 	a := newAgent(platform.NewEngine(s.Engine, &http.Client{Transport: bounded.Transport(&http.Transport{MaxIdleConnsPerHost: 2})}), logger)
-	lc := net.ListenConfig{Control: upstream.SetTCPUserTimeout, KeepAliveConfig: upstream.KeepAliveConfig()}
+	lc := sockets.NewListenConfig()
 	listener, err := lc.Listen(ctx, "tcp", net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)))
 	if err != nil {
 		return errors.Wrap(err, "listen for the coordinator")
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -79,7 +79,7 @@
 // would arrive behind the request, which would then be executed seconds after its caller has left
 // or has been told that it failed.
 func (c *Conn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Close()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,31 +8,20 @@
 import (
 	"bufio"
 	"context"
-	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/apricothub/apricothub/internal/bounded"
 	"github.com/apricothub/apricothub/internal/clock"
+	"github.com/apricothub/apricothub/internal/sockets"
 )
 
 // ErrConnectionLimit is returned if no further connection to a backend server may be opened.
 var ErrConnectionLimit = errors.New("connection limit of the backend server reached")
 
 const (
-	// userTimeout is how long the kernel waits for the peer to acknowledge data or to answer
-	// keep-alive probes before it closes a connection. A connection can become silent forever while
-	// new ones work, and only this timeout detects it. It is above any delay of a healthy network
-	// and below the deadlines of short requests.
-	userTimeout = 1500 * time.Millisecond
-	// keepAliveIdle is the idle time before the first keep-alive probe, keepAliveInterval the time
-	// between probes, and keepAliveProbes the number of unanswered probes that end a connection.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveProbes   = 2
 	// idleTimeoutMargin is how long before the backend server closes an idle connection it is no
 	// longer used, so that no request is sent while the server closes.
 	idleTimeoutMargin = 700 * time.Millisecond
@@ -42,7 +31,7 @@
 
 // Pool keeps idle connections to backend servers and counts the open ones, by server ID.
 type Pool struct {
-	dialer net.Dialer
+	dialer *sockets.Dialer
 
 	mu        sync.Mutex
 	idle      map[string][]*Conn
@@ -52,33 +41,12 @@
 // NewPool returns a pool that waits at most dialTimeout for a connection to be established.
 func NewPool(dialTimeout time.Duration) *Pool {
 	return &Pool{
-		dialer:    net.Dialer{Timeout: dialTimeout, Control: SetTCPUserTimeout, KeepAliveConfig: KeepAliveConfig()},
+		dialer:    sockets.NewDialer(dialTimeout),
 		idle:      make(map[string][]*Conn),
 		openCount: make(map[string]int),
 	}
 }
 
-// KeepAliveConfig returns the TCP keep-alive settings that detect silent idle connections.
-func KeepAliveConfig() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}
-}
-
-// tcpUserTimeoutOption is TCP_USER_TIMEOUT of Linux, which package syscall does not define.
-const tcpUserTimeoutOption = 18
-
-// SetTCPUserTimeout limits how long a socket waits for acknowledgements. It is a Control function
-// for a net.Dialer or net.ListenConfig.
-func SetTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var err error
-	controlErr := raw.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(userTimeout.Milliseconds()))
-	})
-	if controlErr != nil {
-		return controlErr
-	}
-	return err
-}
-
 // Get returns an idle connection to a backend server, or a new one if there is none or forceNew is
 // set. At most limit connections to the server are open at a time; zero means no limit. If Get
 // returns an error, nothing was sent.
