Keep a request at its server while its caller reads slowly

What callers saw: a stream whose caller took nothing for 600 ms (five times the pause that its route allows) was moved to another server, run a second time from its last event, and the sound server it left was counted as failed.

Cause: the watchdog of an attempt takes the time since the last part arrived for a pause of the server. While a part is passed on to the caller nothing is read, however ready the next part is.

Change: the time in which a part of an answer is delivered does not count, for streams, long answers and buffered ones.

Evidence: TestASlowCallerDoesNotMoveItsRequest failed before (the answer was broken off, as the second server of the test begins again) and passes now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -276,6 +276,7 @@
 		// Another backend server has begun the answer; this one cannot be appended to it.
 		return broken
 	}
+	a.watchdog.beginDelivery()
 	if err := a.t.out.deliver(answer); err != nil {
 		return abandoned
 	}
@@ -292,10 +293,11 @@
 	if a.resp.ContentLength >= 0 {
 		out.w.Header().Set("Content-Length", strconv.FormatInt(a.resp.ContentLength, 10))
 	}
-	if _, err := out.w.Write(head); err != nil {
+	caller := deliveryWriter{out.w, a.watchdog}
+	if _, err := caller.Write(head); err != nil {
 		return abandoned
 	}
-	if _, err := io.CopyBuffer(out.w, a.resp.Body, make([]byte, copyBufferBytes)); err != nil {
+	if _, err := io.CopyBuffer(caller, a.resp.Body, make([]byte, copyBufferBytes)); err != nil {
 		return a.breakOff(err)
 	}
 	if a.isCutByEnd() {
@@ -333,10 +335,11 @@
 		if !out.begun {
 			out.begin(a.resp.StatusCode, platform.IncomingHeader(a.resp.Header))
 		}
+		a.watchdog.beginDelivery()
 		if err := out.writeEvent(event); err != nil {
 			return abandoned
 		}
-		a.watchdog.noteEvent()
+		a.watchdog.endDelivery(1)
 		if a.events++; a.events == soundEvents {
 			a.g.prompts.recordSound(a.t, false, clock.Now())
 		}
--- a/internal/gateway/silent.go
+++ b/internal/gateway/silent.go
@@ -45,8 +45,11 @@
 	hasBegun bool
 	// events counts the events that the caller has, also from earlier attempts.
 	events int
-	// lastProgress is when the latest part of the answer arrived, or when the attempt began.
+	// lastProgress is when the latest part of the answer arrived or was passed on, or when the attempt began.
 	lastProgress time.Duration
+	// isDelivering means that a part of the answer is being passed on: nothing is read meanwhile, and a caller
+	// that reads slowly may take long.
+	isDelivering bool
 	// next is where the request moves; nil while the attempt goes on.
 	next *move
 }
@@ -82,14 +85,37 @@
 	w.g.fleet.recordHeard(w.server.ID, w.t.service, now)
 }
 
-// noteEvent records that the caller has another event.
-func (w *watchdog) noteEvent() {
+// beginDelivery records that a part of the answer is being passed on to the caller.
+func (w *watchdog) beginDelivery() {
 	if w == nil {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.events++
+	w.isDelivering = true
+}
+
+// endDelivery records that the caller has a part of the answer, with a number of events.
+func (w *watchdog) endDelivery(events int) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isDelivering, w.lastProgress = false, clock.Now()
+	w.events += events
+}
+
+// deliveryWriter passes the rest of a long answer on to the caller.
+type deliveryWriter struct {
+	w        io.Writer
+	watchdog *watchdog
+}
+
+func (d deliveryWriter) Write(p []byte) (int, error) {
+	d.watchdog.beginDelivery()
+	defer d.watchdog.endDelivery(0)
+	return d.w.Write(p)
 }
 
 // progressBody is the body of an answer; each read that returns data counts as progress.
@@ -127,6 +153,10 @@
 	if w.ended {
 		return
 	}
+	if w.isDelivering {
+		w.timer.Reset(recheckInterval)
+		return
+	}
 	now := clock.Now()
 	if remaining := w.g.fleet.probeDelay(w.progress()) - (now - w.lastProgress); remaining > 0 {
 		w.timer.Reset(remaining)
--- a/internal/gateway/slowcallers_test.go
+++ b/internal/gateway/slowcallers_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"syscall"
@@ -104,3 +106,37 @@
 	ask("after the signal")
 	callers.Wait()
 }
+
+// slowWriter is a caller that takes nothing for a while from the second part of its answer on.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	parts int
+	pause time.Duration
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	if w.parts++; w.parts == 2 {
+		time.Sleep(w.pause)
+	}
+	return w.ResponseRecorder.Write(p)
+}
+
+// Guards against requests that are moved away from a sound server because their caller reads late.
+func TestASlowCallerDoesNotMoveItsRequest(t *testing.T) {
+	t.Parallel()
+	_, servers, e := startWorld(t, answerLong, answerLong)
+	req := httptest.NewRequestWithContext(context.Background(), http.MethodPost, "http://h.example/draft/1", nil)
+	req.Header.Set("Api-Key", "key-1")
+	req.Header.Set("Deadline-Ms", "8000")
+	caller := &slowWriter{ResponseRecorder: httptest.NewRecorder(), pause: slowReadPause}
+	e.ServeHTTP(caller, req)
+	if got := caller.Body.String(); got != longStream() {
+		t.Errorf("the caller got %d bytes of %d", len(got), len(longStream()))
+	}
+	if n := len(servers[0].Requests()) + len(servers[1].Requests()); n != 1 {
+		t.Errorf("the request was sent %d times", n)
+	}
+	if n := e.metrics.moved.Count(); n != 0 {
+		t.Errorf("%d requests were moved", n)
+	}
+}
