Show open connections to servers in the state dump, and fix the linter's finding

Cause: the connections that an attempt leaves behind could be seen in tests only; staticcheck reports syscall.AttachLsf as deprecated.

Change: the dump of a gateway has the number of its open connections to backend servers. The test of a silent peer attaches its filter by the system call.

--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -12,16 +12,18 @@
 
 // dump is the state of the process for operators. It contains no keys.
 type dump struct {
-	VM         string       `json:"vm"`
-	Uptime     string       `json:"uptime"`
-	Ready      bool         `json:"ready"`
-	Leaving    bool         `json:"leaving"`
-	Config     int64        `json:"config_version"`
-	ConfigAge  int64        `json:"config_age_ms"`
-	ServersAge int64        `json:"servers_age_ms"`
-	Entries    int          `json:"entries"`
-	Addresses  []string     `json:"addresses"`
-	Servers    []serverDump `json:"servers"`
+	VM         string `json:"vm"`
+	Uptime     string `json:"uptime"`
+	Ready      bool   `json:"ready"`
+	Leaving    bool   `json:"leaving"`
+	Config     int64  `json:"config_version"`
+	ConfigAge  int64  `json:"config_age_ms"`
+	ServersAge int64  `json:"servers_age_ms"`
+	Entries    int    `json:"entries"`
+	// Connections counts the open connections to backend servers.
+	Connections int          `json:"connections"`
+	Addresses   []string     `json:"addresses"`
+	Servers     []serverDump `json:"servers"`
 	// RetryBudgets are the retry budgets of services.
 	RetryBudgets []retryBudgetDump `json:"retry_budgets"`
 	// Quarantined are the parts of prompts under which servers have ended, and Suspects those that may have
@@ -73,6 +75,7 @@
 		}
 	}
 	d.Servers = g.fleet.dump(clock.Now())
+	d.Connections = g.pool.Open()
 	d.RetryBudgets = g.fleet.retries.dump()
 	d.Quarantined, d.Suspects = g.prompts.dump(clock.Now())
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/sockets/conn_test.go
+++ b/internal/sockets/conn_test.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/go-faster/errors"
 
@@ -139,14 +140,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var attachErr error
+	dropAll := syscall.SockFilter{Code: syscall.BPF_RET | syscall.BPF_K}
+	program := syscall.SockFprog{Len: 1, Filter: &dropAll}
+	var errno syscall.Errno
 	if err := raw.Control(func(fd uintptr) {
-		attachErr = syscall.AttachLsf(int(fd), []syscall.SockFilter{*syscall.LsfStmt(syscall.BPF_RET, 0)})
+		_, _, errno = syscall.Syscall6(syscall.SYS_SETSOCKOPT, fd, syscall.SOL_SOCKET, syscall.SO_ATTACH_FILTER,
+			uintptr(unsafe.Pointer(&program)), unsafe.Sizeof(program), 0)
 	}); err != nil {
 		t.Fatal(err)
 	}
-	if attachErr != nil {
-		t.Fatal(attachErr)
+	if errno != 0 {
+		t.Fatal(errno)
 	}
 }
 
