Take bytes for the answer to a request only by its ID, and only if signed

Cause: an answer without an Attempt-Id counted as the answer to the request that waits on the connection. On a kept connection these may be late bytes after an earlier answer; a late refusal then sent the request to a second server. Only requests of non_idempotent routes were kept off such connections, and nothing asked for the signature.

Change: on a connection that carried another request before, only an answer with the ID of the request counts; the first answer on a connection needs none, as a server may refuse a connection without reading. All requests that must not run twice, and those without an ID, go over new connections. A success without a signature is a broken attempt.

Cost: a refusal without an ID on a kept connection leaves its request waiting until it is moved or its deadline.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -139,8 +139,8 @@
 	// A request that must not run twice goes over a new connection. A kept connection may have gone
 	// silent or be closing: then it would be unknown whether the request was read, and the request
 	// would be lost although it never ran. The same goes for a request that hung before: it cannot
-	// afford to lose another attempt.
-	newConn := a.t.route.Kind == routing.AtMostOnce || a.t.history.hung
+	// afford to lose another attempt. Without an ID, nothing tells late answers to earlier requests from its own.
+	newConn := !a.t.route.Repeatable() || a.t.history.hung || a.t.ID == ""
 	conn, err := a.g.pool.Get(ctx, a.server.ID, a.server.Address, limit, newConn)
 	if err != nil {
 		if errors.Is(err, upstream.ErrConnectionLimit) {
@@ -172,6 +172,9 @@
 	if a.answer.NotRun {
 		return a.discardRefusal()
 	}
+	if a.resp.StatusCode < http.StatusMultipleChoices && !a.answer.Signed {
+		return a.breakOff(errUnsigned)
+	}
 	a.g.fleet.recordBegun(a.t.service, clock.Now()-sentAt)
 	if a.t.route.Kind == routing.Stream && a.resp.StatusCode == http.StatusOK && isEventStream(a.resp.Header) {
 		return a.passOnEvents()
@@ -223,12 +226,13 @@
 
 // matches reports whether an answer belongs to this request.
 //
-// A faulty backend server may answer a request twice. Without this check the second answer would be
-// taken for that of the next request on the connection, and a caller would get another caller's
-// answer.
+// A faulty backend server may answer a request twice, the second time where the next answer on the connection is
+// expected. Without this check a caller would get another caller's answer, or a request would be sent to a
+// second server as not run while the first runs it. Servers echo the ID in all answers to requests that they have
+// read. Only the first answer on a connection needs none, as one that refuses the connection.
 func (a *attempt) matches(resp *http.Response) bool {
 	id := platform.ReadAnswer(resp.StatusCode, resp.Header).ID
-	return id == a.t.ID || id == ""
+	return id == a.t.ID || id == "" && !a.conn.IsReused()
 }
 
 // discardRefusal ends an attempt that the backend server refused.
@@ -350,6 +354,10 @@
 // process was paused.
 var errTokenExpired = errors.New("the token of the retry budget has expired")
 
+// errUnsigned is the error of a success without the signature of a backend server: a proxy on the way or a faulty
+// server may send one.
+var errUnsigned = errors.New("the success has no signature of a backend server")
+
 // errLongError is the error of an error answer that is too long to be kept while other servers are tried.
 var errLongError = errors.New("the error of the backend server is too long")
 
--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -70,7 +70,7 @@
 	t.Parallel()
 	long := strings.Repeat("x", 10_000)
 	_, _, e := startWorld(t, func(seen fakeplatform.ReceivedRequest, conn net.Conn) bool {
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", seen.ID(), len(long), long)
+		_, _ = io.WriteString(conn, fakeplatform.WholeResponse(seen.ID(), long))
 		return true
 	})
 	e.buffers = bounded.NewBuffers(1000)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -98,8 +98,8 @@
 }
 
 // Something on the way loses track of open connections: what is sent on a kept connection is lost,
-// while new ones work. Look-ups may be sent again, but a push would be lost, so it must go over a
-// new connection.
+// while new ones work. Look-ups may be sent again, but a push, or a stream that cannot be resumed, would be
+// lost, so it must go over a new connection. There it meets no late answer to an earlier request either.
 func TestAPushGoesOverANewConnection(t *testing.T) {
 	t.Parallel()
 	_, servers, e := startWorld(t, fakeplatform.Echo)
@@ -108,13 +108,15 @@
 		if r := e.ask("GET", "/look/1", id); r.status != 200 {
 			t.Fatalf("look-up: %+v", r)
 		}
-		if r := e.ask("POST", "/push/1", id); r.status != 200 {
-			t.Fatalf("push: %+v", r)
+		for _, path := range []string{"/push/1", "/chat/1"} {
+			if r := e.ask("POST", path, id); r.status != 200 {
+				t.Fatalf("%s: %+v", path, r)
+			}
 		}
 	}
 	for _, got := range servers[0].Requests() {
 		if got.Request.Method == "POST" && !got.FirstOnConn {
-			t.Error("a push went over a kept connection")
+			t.Errorf("a request to %s went over a kept connection", got.Request.RequestURI)
 		}
 	}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -49,6 +49,8 @@
 	in        *bounded.Reader
 	br        *bufio.Reader
 	idleSince time.Duration
+	// isReused means that the connection has carried another request before.
+	isReused bool
 	// idleTimeout is how long the backend server keeps the connection open while idle; zero if
 	// unknown.
 	idleTimeout time.Duration
@@ -73,6 +75,10 @@
 	return resp, nil
 }
 
+// IsReused reports whether the connection has carried another request before, so that bytes of a response to that
+// one may arrive.
+func (c *Conn) IsReused() bool { return c.isReused }
+
 // reset closes the connection with a TCP reset.
 //
 // The VM of the backend server may be unresponsive or unreachable for a while. An orderly close
@@ -155,6 +161,7 @@
 		c.discard()
 		return
 	}
+	c.isReused = true
 	c.idleSince = now
 	c.idleTimeout = idleTimeout
 	c.pool.putIdle(c)
