Count an answer without a length as whole only if its server is alive after it

Cause: one function answered two questions. Whether a request may have ended its server needs an end without another explanation, so a server that drains, leaves or is registered no more was not checked at all; the answer's wholeness asked the same. It also believed a check of the server that was under way since before the end of the answer.

Change: the end of such an answer is held back until its server has accepted a connection made after it, and kept it open for 50 ms, whatever is known of the server. The search for requests that end servers keeps its own check. Answers to HEAD have no body and end with their header.

Cost: 50 ms at the end of each answer without a length, and one connection.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -177,9 +177,9 @@
 	}
 	a.g.fleet.recordBegun(a.t.service, clock.Now()-sentAt)
 	if a.t.route.Kind == routing.Stream && a.resp.StatusCode == http.StatusOK && isEventStream(a.resp.Header) {
-		return a.passOnEvents()
+		return a.passOnEvents(ctx)
 	}
-	return a.bufferAnswer()
+	return a.bufferAnswer(ctx)
 }
 
 // isEventStream reports whether an answer is a stream of events. On a route for streams, an answer
@@ -249,7 +249,7 @@
 }
 
 // bufferAnswer reads an answer whole before the caller gets any of it.
-func (a *attempt) bufferAnswer() attemptOutcome {
+func (a *attempt) bufferAnswer(ctx context.Context) attemptOutcome {
 	if a.resp.ContentLength > upstream.MaxResponseBytes {
 		return a.breakOff(&bounded.TooLargeError{What: upstream.AnswerBody, Limit: upstream.MaxResponseBytes})
 	}
@@ -261,9 +261,9 @@
 	case !isWhole && a.resp.StatusCode >= http.StatusInternalServerError:
 		return a.breakOff(errLongError)
 	case !isWhole:
-		return a.passOnLong(body)
+		return a.passOnLong(ctx, body)
 	}
-	if a.isCutByEnd() {
+	if a.isCutByEnd(ctx) {
 		return a.breakOff(errCutByEnd)
 	}
 	a.isWhole = true
@@ -288,7 +288,7 @@
 }
 
 // passOnLong delivers an answer that is too long to be buffered.
-func (a *attempt) passOnLong(head []byte) attemptOutcome {
+func (a *attempt) passOnLong(ctx context.Context, head []byte) attemptOutcome {
 	out := a.t.out
 	if out.begun {
 		return broken
@@ -304,7 +304,7 @@
 	if _, err := io.CopyBuffer(caller, a.resp.Body, make([]byte, copyBufferBytes)); err != nil {
 		return a.breakOff(err)
 	}
-	if a.isCutByEnd() {
+	if a.isCutByEnd(ctx) {
 		return a.breakOff(errCutByEnd)
 	}
 	a.isWhole = true
@@ -314,12 +314,12 @@
 
 // passOnEvents delivers the events of a stream as they arrive. Only whole events are passed on, so
 // that another backend server can resume after the last one.
-func (a *attempt) passOnEvents() attemptOutcome {
+func (a *attempt) passOnEvents(ctx context.Context) attemptOutcome {
 	out := a.t.out
 	events := sse.NewReader(a.resp.Body)
 	for {
 		event, err := events.Next()
-		if errors.Is(err, io.EOF) && (a.isEmpty() || a.isCutByEnd()) {
+		if errors.Is(err, io.EOF) && (a.isEmpty() || a.isCutByEnd(ctx)) {
 			return a.breakOff(errCutByEnd)
 		}
 		if errors.Is(err, io.EOF) {
@@ -364,17 +364,20 @@
 // errCutByEnd is the error of an answer that ended with its connection, but not as a whole.
 var errCutByEnd = errors.New("the connection ended before the answer was whole")
 
-// isFramed reports whether an answer has a length or chunks. One without them ends with its connection.
+// isFramed reports whether an answer has a length or chunks, or has no body. One without them ends with its connection.
 func (a *attempt) isFramed() bool {
-	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0 || a.t.method == http.MethodHead
 }
 
 // isEmpty reports whether a stream that is not framed has brought nothing of the answer.
 func (a *attempt) isEmpty() bool { return !a.isFramed() && a.events == 0 && !a.t.out.begun }
 
-// isCutByEnd reports whether an answer that is not framed ended because its server did. The connections of
-// a server that ends may be closed in order, as at the end of a whole answer.
-func (a *attempt) isCutByEnd() bool { return !a.isFramed() && a.g.hasEnded(a.server.Server) }
+// isCutByEnd reports whether an answer that is not framed may have ended because its server did. The connections
+// of a server that ends may be closed in order, as at the end of a whole answer, so that only a server that is alive
+// after the end has sent all of it.
+func (a *attempt) isCutByEnd(ctx context.Context) bool {
+	return !a.isFramed() && !isAlive(ctx, a.server.Address)
+}
 
 // isNextEvent reports whether an event comes after the last one. Events without an ID are
 // accepted in any order.
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -108,14 +109,21 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// hasEnded reports whether a server has ended unexpectedly, as far as one check tells.
-func (g *Gateway) hasEnded(s registry.Server) bool {
-	if !g.fleet.endsUnexpectedly(s) {
+// aliveTime is how long a server has to keep a new connection open to count as alive: the listener of a process
+// that ends may be closed a little later than its connections.
+const aliveTime = 50 * time.Millisecond
+
+// isAlive reports whether the process at an address accepts a connection from now on and keeps it open. A server
+// that leaves, or is registered no more, may be alive.
+func isAlive(ctx context.Context, address string) bool {
+	conn, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, "tcp", address)
+	if err != nil {
 		return false
 	}
-	check := g.ends.start(s)
-	<-check.first
-	return check.ended.Load()
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetReadDeadline(time.Now().Add(aliveTime))
+	_, err = conn.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // maxEndWait is how long a request waits for the first check of the server that broke off its answer: several
