Begin a group of engines anew when the shape of its expert maps changes

Cause: a new shape made a new planner, while the recorder of popularity, the counts and the loaded experts of the old shape stayed and were read by the new one's indexes.

Change: with the shape goes all that it gives meaning to. Maps that engines report are planned from only if they fit the shape (balance.Shape.Fits), as the configuration may come before the engines it describes; counts of another length are no base for a difference.

A panic in the coordination now drops the fence and all state and begins anew after 3 s, with a log line and the call stack. Weighed against ending the process: the requests of all services are in it, and a coordinator always reads what it needs from the engines, as after a takeover. A counter is still missing.

Evidence: TestAnyShapeMayFollowAnother (chains of shapes as configured and as the engines have them) failed in its first case before ("index out of range [4] with length 4"); 100 cases pass now.

--- a/decide/balance/layers.go
+++ b/decide/balance/layers.go
@@ -20,6 +20,43 @@
 	MaxNewExperts int
 }
 
+// Fits reports whether maps, one for each set of layers, have this shape: each expert is on a rank, and no rank
+// holds more than it has slots for.
+func (s Shape) Fits(maps []LayerMap) bool {
+	if len(maps) != s.LayerSets {
+		return false
+	}
+	for _, m := range maps {
+		if !s.fitsSet(m) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s Shape) fitsSet(m LayerMap) bool {
+	if len(m) != s.Ranks {
+		return false
+	}
+	isHeld := make([]bool, s.Experts)
+	held := 0
+	for _, experts := range m {
+		if len(experts) > s.SlotsPerRank {
+			return false
+		}
+		for _, expert := range experts {
+			if expert < 0 || int(expert) >= s.Experts {
+				return false
+			}
+			if !isHeld[expert] {
+				isHeld[expert] = true
+				held++
+			}
+		}
+	}
+	return held == s.Experts
+}
+
 // LayerPlannerConfig holds the parameters of a LayerPlanner. A zero field takes its default.
 type LayerPlannerConfig struct {
 	// TriggerSkew is the skew above which a change of maps is searched for, TargetSkew the skew at
--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -11,6 +11,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -54,7 +55,7 @@
 	// not fit their experts.
 	formingTime = 3 * time.Second
 	// fencedBackoff is how long an entry does nothing after engines refused its fence, since
-	// another one coordinates.
+	// another one coordinates, or after a panic.
 	fencedBackoff = 3 * time.Second
 	// agentSilentAfter is how long a rank agent must not answer before its engine is called
 	// directly, which is expensive and returns less.
@@ -140,13 +141,7 @@
 // Run coordinates whenever this entry is selected to, until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) error {
 	for {
-		interval := standbyPollInterval
-		if c.ensureFence(ctx) {
-			interval = pollInterval
-			if c.poll(ctx) {
-				interval = busyPollInterval
-			}
-		}
+		interval := c.coordinate(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -155,6 +150,30 @@
 	}
 }
 
+// coordinate takes the next step if this entry coordinates, and returns the time until the next one.
+//
+// A panic drops the fence and all state, as if another entry had coordinated until now. Expert maps are not on the way
+// of a request: their coordination must not end the process and the requests in flight.
+func (c *Coordinator) coordinate(ctx context.Context) (interval time.Duration) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			_ = level.Error(c.logger).Log("msg", "The coordination of expert maps ended by a panic. It begins anew.", "err", cause,
+				"stack", string(debug.Stack()), "fence", c.fence.Load(), "result", result.Label(api.ResultCode_INTERNAL))
+			c.resign()
+			c.selected = false
+			c.backoffUntil = clock.Now() + fencedBackoff
+			interval = standbyPollInterval
+		}
+	}()
+	if !c.ensureFence(ctx) {
+		return standbyPollInterval
+	}
+	if c.poll(ctx) {
+		return busyPollInterval
+	}
+	return pollInterval
+}
+
 // Fence returns the fence with which this entry coordinates, or zero if it does not. It is safe for
 // concurrent use.
 func (c *Coordinator) Fence() int64 { return c.fence.Load() }
--- a/internal/experts/counts.go
+++ b/internal/experts/counts.go
@@ -26,6 +26,9 @@
 	hasCounts := false
 	add := func(i int, n int64) { sums[i/g.shape.Experts][i%g.shape.Experts] += float64(n) }
 	for _, m := range members {
+		if m.engine.Config.LayerSets != g.shape.LayerSets || m.engine.Config.Experts != g.shape.Experts {
+			continue
+		}
 		hasCounts = g.noteRankCounts(m, add) || hasCounts
 	}
 	if hasCounts {
@@ -57,11 +60,15 @@
 func (g *group) noteRankCounts(m *member, rise func(i int, n int64)) bool {
 	last := g.lastCounts[m.engine.ID]
 	born := m.reply.GetState().GetBorn()
+	size := m.engine.Config.LayerSets * m.engine.Config.Experts
+	if len(last.counts) != size {
+		last = rankCounts{}
+	}
 	if last.counts == nil || last.startedAtUnixMs != born {
 		rise = nil
 	}
 	counts := ranks.UpdateCounts(m.reply, last.counts, rise)
-	if len(counts) == 0 || len(counts) != m.engine.Config.LayerSets*m.engine.Config.Experts {
+	if len(counts) == 0 || len(counts) != size {
 		return false
 	}
 	g.lastCounts[m.engine.ID] = rankCounts{id: m.reply.GetCountsId(), counts: counts, startedAtUnixMs: born}
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -136,10 +136,22 @@
 	if err != nil {
 		return false
 	}
+	if g.planner != nil {
+		g.forgetShape()
+	}
 	g.planner, g.shape = planner, shape
 	return true
 }
 
+// forgetShape drops everything whose indexes mean sets, experts or ranks of the shape so far.
+func (g *group) forgetShape() {
+	g.clearTarget()
+	clear(g.loaded)
+	clear(g.lastCounts)
+	g.passesSinceCounts = 0
+	g.recorder = balance.Recorder{}
+}
+
 // copyTime returns the time that a rank takes to load a copy of one expert.
 func copyTime(cfg *routing.Engine) time.Duration {
 	if cfg.LinkMbps <= 0 {
@@ -149,7 +161,8 @@
 	return time.Duration(cfg.ExpertMB * bitsPerByte / cfg.LinkMbps * float64(time.Second))
 }
 
-// currentMaps returns the maps in use, or nil until all ranks have reported theirs.
+// currentMaps returns the maps in use, or nil until all ranks have reported theirs. It also returns nil while they
+// do not fit the shape, as when the configuration comes before the engines that it describes.
 func (g *group) currentMaps(members []*member) []balance.LayerMap {
 	maps := make([]balance.LayerMap, g.shape.LayerSets)
 	for i := range maps {
@@ -175,7 +188,7 @@
 			maps[set][rank] = experts
 		}
 	}
-	if !complete {
+	if !complete || !g.shape.Fits(maps) {
 		return nil
 	}
 	return maps
--- a/internal/logging/keys.go
+++ b/internal/logging/keys.go
@@ -48,6 +48,7 @@
 	{MessageKey, "sentence that describes the event"},
 	{ResultKey, "number and name of the result code, see RESULT-CODES.md; only in lines about a failure"},
 	{"err", "underlying error, as reported"},
+	{"stack", "call stack of a panic"},
 	{"cause", "reason, in words"},
 	{DroppedKey, "number of lines with this message dropped since the last one that was written"},
 	{UnreadKey, "number of lines dropped because standard output was not read"},
