Say why pooled connections offer their descriptor

Cause: an assertion of an interface without a reason stops a newcomer.

Change: a comment names its user, the pool's check for input on idle connections. No change of logic.

--- a/internal/sockets/conn.go
+++ b/internal/sockets/conn.go
@@ -129,4 +129,5 @@
 	return info.sendState(), infoErr
 }
 
+// Pools look for input on idle connections through this interface.
 var _ syscall.Conn = (*conn)(nil)
