Keep the cut of TestCountsKeepServiceInALogOutage in force

The test stops new dials from the first domain and closes its one link to the second. If that link has just been lost, a dial is under way, which brings the link up after the cut; the domain is then not isolated, and rightly so.

Change: the test closes a link that still comes up, and allows one such. More would be a fault of dialing. What it asserts of isolation and of refusals is as before.

--- a/internal/member/counts_test.go
+++ b/internal/member/counts_test.go
@@ -7,6 +7,7 @@
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/coord/fresh"
 	"github.com/apricothub/apricothub/internal/clock"
+	"github.com/apricothub/apricothub/internal/link"
 	"github.com/apricothub/apricothub/internal/platform"
 )
 
@@ -64,8 +65,19 @@
 	expectNoRefusal(t, "in an outage of the log", all)
 	eventually(t, "an outage", allInMode(all, fresh.Outage))
 	all[0].Do(func() { all[0].options.ShouldDial = func(platform.VM) bool { return false } })
-	all[0].closeLink("e4")
-	eventually(t, "isolation", allInMode(island, fresh.Isolated))
+	// A dial that was under way may still bring up one more link.
+	const maxLinks = 2
+	closed := make(map[*link.Session]bool)
+	eventually(t, "isolation", func() bool {
+		if p := all[0].peer("e4"); p != nil && p.Session != nil {
+			closed[p.Session] = true
+			all[0].closeLink("e4")
+		}
+		return allInMode(island, fresh.Isolated)()
+	})
+	if len(closed) > maxLinks {
+		t.Errorf("%d links to the second domain came up after the cut", len(closed)-1)
+	}
 	expectNoRefusal(t, "beside an island", others)
 }
 
