Read the memory and the descriptors of the VM in one place

Cause: limits.file-descriptors of the platform's settings was not read, and entries and agents did not know the memory of their VM. The runtime's memory limit left nothing for the program itself, 16 MB that the runtime does not count: at 96 MB a gateway beside a crowd came to 77 MB resident of the 67 MB that the limit meant.

Change: internal/resources takes both from the settings, or GOMEMLIMIT, or the system, and sets the limit of the heap below the memory without the program, for entries and agents as well.

--- a/internal/command/daemon/daemon.go
+++ b/internal/command/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/internal/command/cli"
 	"github.com/apricothub/apricothub/internal/logging"
+	"github.com/apricothub/apricothub/internal/resources"
 	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/internal/settings"
 )
@@ -73,6 +74,7 @@
 			func(s S) error { return logger.Set(logOf(s).GetLevel()) },
 			logger, loaded,
 		)
+		resources.Of(0, 0).LimitHeap()
 		return runUntilSignal(ctx, func(ctx context.Context) error { return serve(ctx, loaded, logger) },
 			func(ctx context.Context) error { return r.reloadOnSIGHUP(ctx, hangup) })
 	}}
--- a/internal/command/daemon/gateway.go
+++ b/internal/command/daemon/gateway.go
@@ -5,7 +5,6 @@
 	"io"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/go-kit/log"
@@ -14,6 +13,7 @@
 
 	"github.com/apricothub/apricothub/internal/command/cli"
 	"github.com/apricothub/apricothub/internal/logging"
+	"github.com/apricothub/apricothub/internal/resources"
 	"github.com/apricothub/apricothub/platform"
 )
 
@@ -70,7 +70,7 @@
 			return cli.UsageErrorf("%v.", err)
 		}
 		defer logger.Close()
-		limitHeap(loaded.MemoryMB)
+		resources.Of(loaded.MemoryBytes, loaded.Descriptors).LimitHeap()
 		return runUntilSignal(ctx,
 			func(ctx context.Context) error { return serve(ctx, loaded, logger) },
 			func(ctx context.Context) error { return reloadOnSIGHUP(ctx, hangup, logger) },
@@ -78,18 +78,6 @@
 	}}
 }
 
-// heapRatio is the part of a process's memory that the Go runtime may use before it collects garbage more
-// often. The rest is for what it does not count: the program itself, and bytes in sockets.
-const heapRatio = 0.7
-
-// limitHeap makes the runtime collect garbage more often near the memory limit of the VM, in MB; zero for no
-// limit. Otherwise a burst of garbage that could be collected ends the process.
-func limitHeap(memoryMB int) {
-	if memoryMB > 0 {
-		debug.SetMemoryLimit(int64(heapRatio * float64(memoryMB) * 1e6))
-	}
-}
-
 // awaitSignal returns run.ErrSignal once a signal is received.
 func awaitSignal(ctx context.Context, received <-chan os.Signal) error {
 	select {
--- /dev/null
+++ b/internal/resources/memory_other.go
@@ -0,0 +1,6 @@
+//go:build !linux
+
+package resources
+
+// totalMemory returns zero: the system is not asked.
+func totalMemory() int64 { return 0 }
