--- a/test/fakeplatform/settings.go
+++ b/test/fakeplatform/settings.go
@@ -49,6 +49,27 @@
 	Store string
 	// Seeds are the IPs of other entries.
 	Seeds []string
+	// Machine is the VM of the entry.
+	Machine Machine
+}
+
+// Machine holds the limits of a VM.
+type Machine struct {
+	// MemoryMB is the memory of a process in MB, FileDescriptors the number of its descriptors; zero for no
+	// limit.
+	MemoryMB, FileDescriptors int
+}
+
+// settings returns the lines of the settings file.
+func (m Machine) settings() string {
+	var text strings.Builder
+	if m.MemoryMB > 0 {
+		fmt.Fprintf(&text, "limits.memory-mb=%d\n", m.MemoryMB)
+	}
+	if m.FileDescriptors > 0 {
+		fmt.Fprintf(&text, "limits.file-descriptors=%d\n", m.FileDescriptors)
+	}
+	return text.String()
 }
 
 // RankAgent holds the settings of a rank agent.
@@ -58,6 +79,8 @@
 	Engine string
 	// Store is the address of the platform's store.
 	Store string
+	// Machine is the VM of the rank agent.
+	Machine Machine
 }
 
 // WriteSettings writes the settings file of a rank agent and returns the environment variable
@@ -74,7 +97,7 @@
 internal-ports=%d
 platform.address=%s
 app=%s
-`, a.VM, ip, a.FailureDomain, PortPeers, a.Store, a.Engine))
+%s`, a.VM, ip, a.FailureDomain, PortPeers, a.Store, a.Engine, a.Machine.settings()))
 }
 
 // WriteSettings writes the settings file of an entry and returns the environment variable
@@ -116,5 +139,5 @@
 bounds.cold-over=1.5
 bounds.cold-slack=5
 bounds.ttl_max_s=5
-`, e.VM, e.IP, e.FailureDomain, address(PortCallers), address(PortReadiness), address(PortDirectory), address(PortAdmin), PortPeers, strings.Join(seeds, ","), e.Store)
+%s`, e.VM, e.IP, e.FailureDomain, address(PortCallers), address(PortReadiness), address(PortDirectory), address(PortAdmin), PortPeers, strings.Join(seeds, ","), e.Store, e.Machine.settings())
 }
--- a/test/fakeplatform/store.go
+++ b/test/fakeplatform/store.go
@@ -28,11 +28,21 @@
 	topics map[string][][2]string
 	// firstOffsets are the lowest offsets still readable, by topic.
 	firstOffsets map[string]int
+	// Limits are the limits on callers in the configurations that are published from now on.
+	Limits Limits
+}
+
+// Limits are the limits on what a caller may send; a limit of zero is left out.
+type Limits struct {
+	HeaderBytes     int `json:"max-header-bytes,omitempty"`
+	BodyBytes       int `json:"max-body-bytes,omitempty"`
+	HeaderTimeoutMs int `json:"header-timeout-ms,omitempty"`
+	IdleTimeoutMs   int `json:"idle-timeout-ms,omitempty"`
 }
 
 // NewStore starts a store that stops at the end of the test.
 func NewStore(report harness.Reporter) *Store {
-	s := &Store{topics: make(map[string][][2]string), firstOffsets: make(map[string]int)}
+	s := &Store{topics: make(map[string][][2]string), firstOffsets: make(map[string]int), Limits: Limits{BodyBytes: 1 << 20}}
 	s.Server = httptest.NewServer(s.handler(func() bool { return false }))
 	report.Cleanup(s.Close)
 	return s
@@ -241,7 +251,7 @@
 	cfg, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes,
 		"services": services,
-		"limits":   map[string]any{"max-body-bytes": 1 << 20},
+		"limits":   s.Limits,
 		"tenants":  teams,
 	})
 	if err != nil {
--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -53,8 +53,10 @@
 	// Direct connects processes without forwarders, for measurements: no link is broken, and
 	// traffic must not pass through the test process.
 	Direct bool
-	// EntryEnv holds additional environment variables of entries.
-	EntryEnv []string
+	// EntryEnv and AgentEnv hold additional environment variables of entries and agents.
+	EntryEnv, AgentEnv []string
+	// Descriptors limits the open descriptors of each entry and agent; zero for no limit.
+	Descriptors int
 }
 
 // Member is an entry or an agent, with its addresses, settings and backend server.
@@ -230,11 +232,15 @@
 func (c *Cluster) start(m *Member, role string, settings Settings) {
 	m.settings = settings
 	m.settingsFile = WriteFile(c.report, c.Dir, m.VM+".ini", settings.String())
-	var env []string
+	env := c.AgentEnv
 	if role == "entry" {
 		env = c.EntryEnv
 	}
-	m.Process = StartWithEnv(c.report, env, c.Dir, m.VM, c.Bin+"/apricothub", role, "-c", m.settingsFile)
+	command := []string{c.Bin + "/apricothub", role, "-c", m.settingsFile}
+	if c.Descriptors > 0 {
+		command = append([]string{"/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, c.Descriptors)}, command...)
+	}
+	m.Process = StartWithEnv(c.report, env, c.Dir, m.VM, command[0], command[1:]...)
 }
 
 // Setting returns the value of one setting.
--- a/test/site_test.go
+++ b/test/site_test.go
@@ -44,6 +44,10 @@
 	// serverLink and storeLink place a proxy in front of a backend server and of a gateway's
 	// storeEndpoint, and return the address to use instead. Nil places none.
 	serverLink, storeLink func(address string) string
+	// machine is the VM of each gateway.
+	machine fakeplatform.Machine
+	// limits are the limits on callers; nil for those of the store.
+	limits *fakeplatform.Limits
 }
 
 // startSite starts a site with the given number of gateways and a backend server in each of three
@@ -57,6 +61,9 @@
 func startSiteWith(t *testing.T, spec siteSpec) *site {
 	t.Helper()
 	s := &site{t: t, dir: harness.NewDir(t, strings.ReplaceAll(t.Name(), "/", "-")), store: fakeplatform.NewStore(t)}
+	if spec.limits != nil {
+		s.store.Limits = *spec.limits
+	}
 	s.store.Configure(1, fakeplatform.Routes(), fakeplatform.CallerKey)
 	for _, domain := range domains {
 		registration := fakeplatform.Registration{ID: "i-" + domain, FailureDomain: domain, Concurrency: 16, MapAddress: spec.serverLink}
@@ -69,7 +76,7 @@
 		if spec.storeLink != nil {
 			store = spec.storeLink(store)
 		}
-		entry := fakeplatform.Entry{VM: g.vm, IP: g.ip, FailureDomain: domains[i%len(domains)], Store: store, Seeds: seeds}
+		entry := fakeplatform.Entry{VM: g.vm, IP: g.ip, FailureDomain: domains[i%len(domains)], Store: store, Seeds: seeds, Machine: spec.machine}
 		g.Process = harness.StartWithEnv(t, []string{entry.WriteSettings(t, s.dir)}, s.dir, g.vm, binDir+"/apricothub", "gateway")
 		s.gateways = append(s.gateways, g)
 		seeds = append(seeds, g.ip)
