Bound what the clients of each HTTP listener make a process hold

What callers saw: clients with headers of many short lines, bodies that stop, requests without reading the answers and the like ended a gateway, or took its descriptors, so that others could not connect.

Cause: the callers' listener of a gateway had no bound on connections, a constant for the header (64 KiB, a thousand times parsed 1.5 MB) and constants for the times; limits.file-descriptors and the limits of the configuration but max-body-bytes were not acted on. Nothing bounded what clients send while they are not read, or do not take: neither at the callers' listener nor at those for readiness, directory, operators, entries and coordinators. An entry bounded its connections at 8,192 whatever its VM has, and let callers past the bound wait for another to leave. A refusal before a body could wait for that body without end, as only the header had a deadline.

Change: httpguard.Guard stands between each listener and the library. It counts what a connection holds (buffers, header by bytes and lines, body, socket buffers), has bounds that are parts of the VM's memory and descriptors, closes who yields by decide/shed, and takes the limits of the configuration from the next request on each connection. It refuses a header beyond its limit (431) and a request without room (503 with Retry-After) before the library parses it, so that "not run" is true. A failure to accept that passes does not end a listener. The bounds on buffered answers and bodies follow the memory too.

The row of TestLimits on a header past the library's limit now wants the numbered result as the others do; the other tests have the new constructor.

--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -14,8 +14,10 @@
 
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/internal/adminapi"
-	"github.com/apricothub/apricothub/internal/logging"
+	"github.com/apricothub/apricothub/internal/httpguard"
+	"github.com/apricothub/apricothub/internal/resources"
 	"github.com/apricothub/apricothub/internal/result"
+	"github.com/apricothub/apricothub/internal/sockets"
 )
 
 // Limits of the admin server. A body holds a list of at most 4 MiB in which every newline may be
@@ -27,6 +29,12 @@
 	readTimeout       = 30 * time.Second
 	writeTimeout      = 90 * time.Second
 	idleTimeout       = 60 * time.Second
+	// clientsMemory is the part of the VM's memory, clientsSockets the part of the process's sockets that the
+	// clients may take.
+	clientsMemory  = 1.0 / 8
+	clientsSockets = 1.0 / 32
+	// dumpBytes is what the state of the process takes on average.
+	dumpBytes = 512 << 10
 )
 
 // Handler returns the handler of a process's admin address. configuration is nil for a process that
@@ -57,29 +65,31 @@
 
 // Serve listens on the admin address until the context ends.
 func Serve(ctx context.Context, address string, handler http.Handler, logger log.Logger) error {
-	server := NewServer(handler, logger)
-	server.Addr = address
+	config := sockets.NewListenConfig()
+	ln, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen on the admin address")
+	}
+	guard := newGuard(resources.Of(0, 0), logger)
+	server := guard.NewServer(handler)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	err := server.ListenAndServe()
+	err = server.Serve(guard.Listener(ln))
 	if errors.Is(err, http.ErrServerClosed) {
 		return ctx.Err()
 	}
 	return errors.Wrap(err, "serve the admin address")
 }
 
-// NewServer returns a server whose timeouts and header limit bound what a client of the admin
-// address can hold open or send.
-func NewServer(handler http.Handler, logger log.Logger) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      writeTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          logging.NewStdLogger(logger, "The admin server reported an error.", result.Label(api.ResultCode_INTERNAL)),
-	}
+// newGuard bounds what the clients of the admin address can hold or send.
+func newGuard(available resources.Resources, logger log.Logger) *httpguard.Guard {
+	return httpguard.New(httpguard.Options{
+		Name: "admin", Connections: available.Descriptors(clientsSockets), Bytes: available.Memory(clientsMemory),
+		RequestBytes: dumpBytes, WriteTime: writeTimeout, Logger: logger,
+		Limits: func() httpguard.Limits {
+			return httpguard.Limits{HeaderBytes: maxHeaderBytes, HeaderTime: readHeaderTimeout, BodyTime: readTimeout, IdleTime: idleTimeout}
+		},
+	})
 }
 
 type handler struct {
--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -12,12 +12,10 @@
 	"testing"
 	"time"
 
-	"github.com/go-kit/log"
-
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/internal/clock"
-	"github.com/apricothub/apricothub/internal/httpguard"
 	"github.com/apricothub/apricothub/internal/link"
+	"github.com/apricothub/apricothub/internal/resources"
 )
 
 // A streamed answer breaks in the middle. The caller must get the failure as an event and no end
@@ -277,8 +275,9 @@
 	e, _ := startEntry(t, agent)
 	public := httptest.NewUnstartedServer(nil)
 	count := &writeCountingListener{Listener: public.Listener}
-	public.Config = httpguard.NewServer(e.settings.GetLimits(), e.handler(), log.NewNopLogger())
-	public.Listener = httpguard.LimitListener(count, 10)
+	guard := e.newCallersGuard(resources.Of(0, 0))
+	public.Config = guard.NewServer(e.handler())
+	public.Listener = guard.Listener(count)
 	public.Start()
 	defer public.Close()
 	for range 3 {
--- /dev/null
+++ b/internal/entry/clients.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/apricothub/apricothub/internal/httpguard"
+	"github.com/apricothub/apricothub/internal/resources"
+)
+
+// Parts of the memory of the VM and of the sockets of the process. What is left of the sockets is for the links that
+// this entry opens itself, for the admin address and for the platform.
+const (
+	callersMemory, callersSockets = 1.0 / 4, 1.0 / 2
+)
+
+// callerRequestBytes is what a request holds on average, without its header and body.
+const callerRequestBytes = 16 << 10
+
+// newCallersGuard returns the guard of the listener for callers.
+func (e *entry) newCallersGuard(available resources.Resources) *httpguard.Guard {
+	l := e.settings.GetLimits()
+	millis := func(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+	limits := httpguard.Limits{
+		HeaderBytes: l.GetHeaderBytes(), HeaderTime: millis(l.GetReadHeaderMs()), BodyTime: millis(l.GetReadBodyMs()), IdleTime: millis(l.GetIdleMs()),
+	}
+	return httpguard.New(httpguard.Options{
+		Name: "callers", Connections: min(int(l.GetConnections()), available.Descriptors(callersSockets)), Bytes: available.Memory(callersMemory),
+		RequestBytes: callerRequestBytes, WriteTime: writeTimeout, Logger: e.logger, Registry: e.registry,
+		Limits: func() httpguard.Limits { return limits },
+	})
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,12 +20,13 @@
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/coord/config"
 	"github.com/apricothub/apricothub/internal/clock"
-	"github.com/apricothub/apricothub/internal/httpguard"
 	"github.com/apricothub/apricothub/internal/journal"
 	"github.com/apricothub/apricothub/internal/link"
 	"github.com/apricothub/apricothub/internal/member"
 	"github.com/apricothub/apricothub/internal/platform"
+	"github.com/apricothub/apricothub/internal/resources"
 	"github.com/apricothub/apricothub/internal/result"
+	"github.com/apricothub/apricothub/internal/sockets"
 	"github.com/apricothub/apricothub/internal/version"
 )
 
@@ -78,15 +79,18 @@
 // the last request is answered.
 func Run(ctx context.Context, settings *api.EntrySettings, logger log.Logger) error {
 	e := newEntry(settings, logger)
-	linkListener, err := net.Listen("tcp", settings.GetListen().GetLink())
+	listenConfig := sockets.NewListenConfig()
+	linkListener, err := listenConfig.Listen(ctx, "tcp", settings.GetListen().GetLink())
 	if err != nil {
 		return errors.Wrap(err, "listen for links")
 	}
-	publicListener, err := net.Listen("tcp", settings.GetListen().GetPublic())
+	publicListener, err := listenConfig.Listen(ctx, "tcp", settings.GetListen().GetPublic())
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	server := httpguard.NewServer(settings.GetLimits(), e.handler(), logger)
+	available := resources.Of(0, 0)
+	callers := e.newCallersGuard(available)
+	server := callers.NewServer(e.handler())
 	workCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group run.Group
@@ -94,7 +98,7 @@
 	group.Add(func() error { return e.serveAdmin(workCtx) }, func(error) { stop() })
 	group.Add(func() error { return e.keys.readLoop(workCtx) }, func(error) { stop() })
 	group.Add(func() error { return e.keys.appendLoop(workCtx) }, func(error) { stop() })
-	group.Add(func() error { return e.servePublic(workCtx, server, publicListener) }, func(error) { stop() })
+	group.Add(func() error { return e.servePublic(workCtx, server, callers.Listener(publicListener)) }, func(error) { stop() })
 	group.Add(func() error { return e.drainOnStop(ctx, workCtx, server) }, func(error) { stop() })
 	_ = logger.Log("msg", "The entry has started.", "incarnation", e.self.GetIncarnation())
 	err = group.Run()
@@ -228,7 +232,7 @@
 }
 
 func (e *entry) servePublic(workCtx context.Context, server *http.Server, ln net.Listener) error {
-	err := server.Serve(httpguard.LimitListener(ln, int(e.settings.GetLimits().GetConnections())))
+	err := server.Serve(ln)
 	if errors.Is(err, http.ErrServerClosed) {
 		<-workCtx.Done()
 		return workCtx.Err()
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -21,9 +21,9 @@
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/coord/ticket"
 	"github.com/apricothub/apricothub/internal/clock"
-	"github.com/apricothub/apricothub/internal/httpguard"
 	"github.com/apricothub/apricothub/internal/link"
 	"github.com/apricothub/apricothub/internal/platform"
+	"github.com/apricothub/apricothub/internal/resources"
 )
 
 var testLinks = &api.Links{Key: "key", HeartbeatMs: 10, SuspectMs: 150, DeadMs: 400, FreshnessMs: 1000}
@@ -218,7 +218,7 @@
 		Self:     &api.Self{Vm: "e1", FailureDomain: "a"},
 		Listen:   &api.EntryListen{Public: "127.0.0.1:1"},
 		Platform: &api.Platform{Url: service.URL, RequestTimeoutMs: 1000, PollMs: 20},
-		Limits:   &api.Limits{BodyBytes: 1 << 20, HeaderBytes: 1 << 16, DefaultDeadlineMs: 5000},
+		Limits:   &api.Limits{Connections: 1000, BodyBytes: 1 << 20, HeaderBytes: 1 << 16, DefaultDeadlineMs: 5000},
 		Link:     links,
 		Policy:   &api.EntryPolicy{AddressKeepMs: 100, DrainMs: 1000, QueueMs: 300},
 		Keys:     &api.Keys{Stream: "keys", LifetimeMs: 600000, AppendsPerSecond: 100, Waiting: 8},
@@ -234,8 +234,9 @@
 		_ = e.node.Run(ctx, ln)
 	}()
 	public := httptest.NewUnstartedServer(nil)
-	public.Config = httpguard.NewServer(e.settings.GetLimits(), e.handler(), log.NewNopLogger())
-	public.Listener = httpguard.LimitListener(public.Listener, 1000)
+	guard := e.newCallersGuard(resources.Of(0, 0))
+	public.Config = guard.NewServer(e.handler())
+	public.Listener = guard.Listener(public.Listener)
 	public.Start()
 	t.Cleanup(func() {
 		public.Close()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -25,10 +25,6 @@
 	// maxBufferedBytes limits how much of an answer is buffered until it is whole. An answer up to
 	// this size that breaks off can be requested again without the caller noticing.
 	maxBufferedBytes = 1 << 20
-	// maxBufferedTotal limits what is buffered of all answers, maxBodiesTotal the bodies of all requests:
-	// together a fraction of the memory of the smallest VM.
-	maxBufferedTotal = 24 << 20
-	maxBodiesTotal   = 32 << 20
 	// maxRefusalBytes limits how much of a refusal's body is read; refusals are a sentence long.
 	maxRefusalBytes = 64 << 10
 	// copyBufferBytes is the size of the buffer that copies the rest of longer answers.
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -37,7 +37,10 @@
 	// The library would take a deadline that passes later for the end of the caller's connection.
 	_ = t.out.rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
+	var refused *result.Error
 	switch {
+	case errors.As(err, &refused):
+		return refused
 	case errors.As(err, &tooLarge):
 		return result.New(api.ResultCode_BODY_TOO_LARGE)
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/experts"
 	"github.com/apricothub/apricothub/internal/logging"
+	"github.com/apricothub/apricothub/internal/resources"
 	"github.com/apricothub/apricothub/internal/sockets"
 	"github.com/apricothub/apricothub/internal/upstream"
 	"github.com/apricothub/apricothub/platform"
@@ -45,6 +46,7 @@
 // Gateway is one entry.
 type Gateway struct {
 	settings    *platform.Settings
+	resources   resources.Resources
 	logger      log.Logger
 	incarnation uint64
 	store       *platform.Store
@@ -102,15 +104,16 @@
 		ResponseHeaderTimeout: timing.operatorsLongPoll + storeTimeout,
 	})
 	counters := newCounters()
+	available := resources.Of(s.MemoryBytes, s.Descriptors)
 	g := &Gateway{
-		settings: s, logger: logger, incarnation: newIncarnation(time.Now()),
+		settings: s, resources: available, logger: logger, incarnation: newIncarnation(time.Now()),
 		store: platform.NewStore(s.Store.Address, countingTransport{transport, counters}),
 		fleet: newFleet(s.IP, limits{
 			coldMaxRatio: s.Bounds.ColdMaxRatio, coldSlack: s.Bounds.ColdSlack,
 			retry: retryLimits(s.Bounds),
 		}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		pool:    upstream.NewPool(connectTimeout),
-		buffers: bounded.NewBuffers(maxBufferedTotal), bodies: bounded.NewBuffers(maxBodiesTotal),
+		buffers: bounded.NewBuffers(available.Memory(answersMemory)), bodies: bounded.NewBuffers(available.Memory(callersMemory)),
 		ends:    newEndProber(),
 		prompts: newPromptGuard(s.IP),
 		listen:  sockets.NewListenConfig(),
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,31 +11,11 @@
 
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/internal/clock"
-	"github.com/apricothub/apricothub/internal/logging"
+	"github.com/apricothub/apricothub/internal/httpguard"
 	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/platform"
 )
 
-const (
-	// headerTimeout and idleTimeout limit a caller's connection. Callers reuse connections that
-	// were idle for up to a few seconds less than the platform's limits.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
-	// controlWriteTimeout limits the time of an answer to others than callers.
-	controlWriteTimeout = 10 * time.Second
-	// maxHeaderBytes limits a request's header.
-	maxHeaderBytes = 64 << 10
-)
-
-// callersEndpoint is the name of the endpoint for callers. Their requests have deadlines of their own.
-const callersEndpoint = "callers"
-
-// endpoint is one address that the process listens on.
-type endpoint struct {
-	name, address string
-	handler       http.Handler
-}
-
 func (g *Gateway) endpoints() []endpoint {
 	handle := func(path string, f http.HandlerFunc) http.Handler {
 		mux := http.NewServeMux()
@@ -45,12 +25,22 @@
 	admin := http.NewServeMux()
 	admin.HandleFunc("GET /metrics", g.serveMetrics)
 	admin.HandleFunc("GET /debug/state", g.serveDump)
+	control := httpguard.ControlLimits
 	all := []endpoint{
-		{callersEndpoint, g.settings.Listen.Callers, g},
-		{"readiness", g.settings.Listen.Readiness, handle(platform.PathReady, g.serveReady)},
-		{"directory", g.settings.Listen.Directory, handle(platform.PathResolve, g.serveResolve)},
-		{"entries", g.peerAddress(g.settings.IP), handle(statePath, g.serveState)},
-		{"admin", g.settings.Listen.Admin, admin},
+		{"callers", g.settings.Listen.Callers, g, clientBounds{callersMemory, callersSockets, callerRequestBytes, callerWriteTime, g.callerLimits}},
+		{
+			"readiness", g.settings.Listen.Readiness, handle(platform.PathReady, g.serveReady),
+			clientBounds{readinessMemory, readinessSockets, shortAnswerBytes, writeTime, control},
+		},
+		{
+			"directory", g.settings.Listen.Directory, handle(platform.PathResolve, g.serveResolve),
+			clientBounds{directoryMemory, directorySockets, shortAnswerBytes, writeTime, control},
+		},
+		{
+			"entries", g.peerAddress(g.settings.IP), handle(statePath, g.serveState),
+			clientBounds{entriesMemory, entriesSockets, stateAnswerBytes, writeTime, control},
+		},
+		{"admin", g.settings.Listen.Admin, admin, clientBounds{adminMemory, adminSockets, dumpBytes, writeTime, control}},
 	}
 	used := all[:0]
 	for _, e := range all {
@@ -83,23 +73,12 @@
 			}
 			return nil, errors.Wrapf(err, "listen for %s", e.name)
 		}
-		opened = append(opened, openEndpoint{g.newServer(e), e.name, listener})
+		guard := g.newGuard(e.name, e.bounds)
+		opened = append(opened, openEndpoint{guard.NewServer(e.handler), e.name, guard.Listener(listener)})
 	}
 	return opened, nil
 }
 
-func (g *Gateway) newServer(e endpoint) *http.Server {
-	server := &http.Server{
-		Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: logging.NewStdLogger(logging.Part(g.logger, e.name), "The library for HTTP reports an error.",
-			result.Label(api.ResultCode_INTERNAL)),
-	}
-	if e.name != callersEndpoint {
-		server.ReadTimeout, server.WriteTimeout = headerTimeout, controlWriteTimeout
-	}
-	return server
-}
-
 // serveAll serves on all endpoints until ctx ends or another part of the process does, and then
 // shuts down gracefully.
 //
--- a/internal/httpguard/after_test.go
+++ b/internal/httpguard/after_test.go
@@ -6,10 +6,6 @@
 	"net/http/httptest"
 	"testing"
 	"time"
-
-	"github.com/go-kit/log"
-
-	"github.com/apricothub/apricothub/api"
 )
 
 // An answer is written, or its connection fails. The function that keeps the answer for a caller's
@@ -18,7 +14,8 @@
 	sentResults := make(chan bool, 2)
 	returned := false
 	server := httptest.NewUnstartedServer(nil)
-	server.Config = NewServer(&api.Limits{HeaderBytes: 1 << 16}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	guard := newTestGuard(Limits{HeaderBytes: 1 << 16}, 10, 1<<30)
+	server.Config = guard.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer func() { returned = true }()
 		if r.URL.Path == "/broken" {
 			_ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0))
@@ -30,8 +27,8 @@
 		if !AfterAnswer(r.Context(), func(sent bool) { sentResults <- sent && returned }) {
 			t.Error("AfterAnswer does not know the connection")
 		}
-	}), log.NewNopLogger())
-	server.Listener = LimitListener(server.Listener, 10)
+	}))
+	server.Listener = guard.Listener(server.Listener)
 	server.Start()
 	defer server.Close()
 	for path, want := range map[string]bool{"/": true, "/closes": true, "/broken": false} {
--- a/internal/httpguard/httpguard_test.go
+++ b/internal/httpguard/httpguard_test.go
@@ -19,27 +19,35 @@
 
 const timeout = 300 * time.Millisecond
 
+const maxBody = 4096
+
+// newTestGuard returns a guard with bounds on connections and memory.
+func newTestGuard(limits Limits, maxConnections int, bytes int64) *Guard {
+	return New(Options{
+		Name: "test", Connections: maxConnections, Bytes: bytes, WriteTime: 20 * timeout, Logger: log.NewNopLogger(),
+		Limits: func() Limits { return limits },
+	})
+}
+
 // serve starts a server that reads the body and counts the requests that it received completely.
 func serve(t *testing.T, maxConnections int) (address string, completed *atomic.Int64) {
 	t.Helper()
-	limits := &api.Limits{
-		HeaderBytes: 2048, BodyBytes: 4096, ReadHeaderMs: timeout.Milliseconds(),
-		ReadBodyMs: timeout.Milliseconds(), IdleMs: timeout.Milliseconds(),
-	}
+	limits := Limits{HeaderBytes: 2048, HeaderTime: timeout, BodyTime: timeout, IdleTime: timeout}
 	completed = &atomic.Int64{}
-	server := NewServer(limits, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if _, err := ReadBody(w, r, limits.GetBodyBytes()); err != nil {
+	guard := newTestGuard(limits, maxConnections, 1<<30)
+	server := guard.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := ReadBody(w, r, maxBody); err != nil {
 			result.WriteHTTP(w, err)
 			return
 		}
 		completed.Add(1)
 		result.SetHeader(w.Header(), api.ResultCode_OK)
-	}), log.NewNopLogger())
+	}))
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { _ = server.Serve(LimitListener(inner, maxConnections)) }()
+	go func() { _ = server.Serve(guard.Listener(inner)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return inner.Addr().String(), completed
 }
@@ -63,7 +71,7 @@
 		{"good", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi", "200", "0 OK"},
 		{"header past the limit", "GET / HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("a", 3000) + "\r\n\r\n", "431", "113 HEADER_TOO_LARGE"},
 		{"many headers", "GET / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("A: a\r\n", 500) + "\r\n", "431", "113 HEADER_TOO_LARGE"},
-		{"header past the library's", "GET / HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("a", 30000) + "\r\n\r\n", "431", ""},
+		{"header past the library's", "GET / HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("a", 30000) + "\r\n\r\n", "431", "113 HEADER_TOO_LARGE"},
 		{"body announced too large", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n", "413", "106 BODY_TOO_LARGE"},
 		{"endless body", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("400\r\n"+strings.Repeat("a", 1024)+"\r\n", 8), "413", "106 BODY_TOO_LARGE"},
 		{"bad chunk", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400", "100 BAD_REQUEST"},
@@ -140,7 +148,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln := LimitListener(inner, 1)
+	ln := newTestGuard(Limits{}, 1, 1<<30).Listener(inner)
 	dial(t, inner.Addr().String())
 	if _, err := ln.Accept(); err != nil {
 		t.Fatal(err)
@@ -165,7 +173,8 @@
 // timeout is for the body and must not cut the answer.
 func TestBodyTimeoutDoesNotCutLongAnswers(t *testing.T) {
 	contextErrs := make(chan error, 1)
-	server := NewServer(&api.Limits{HeaderBytes: 4096, ReadHeaderMs: 200, ReadBodyMs: 200, IdleMs: 1000},
+	guard := newTestGuard(Limits{HeaderBytes: 4096, HeaderTime: 200 * time.Millisecond, BodyTime: 200 * time.Millisecond, IdleTime: time.Second}, 10, 1<<30)
+	server := guard.NewServer(
 		http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if _, err := ReadBody(w, r, 100); err != nil {
 				t.Error(err)
@@ -176,12 +185,12 @@
 			}
 			contextErrs <- r.Context().Err()
 			_, _ = w.Write([]byte("whole"))
-		}), log.NewNopLogger())
+		}))
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { _ = server.Serve(ln) }()
+	go func() { _ = server.Serve(guard.Listener(ln)) }()
 	defer func() { _ = server.Close() }()
 	for range 2 { // The second time over the kept connection.
 		resp, err := http.Post("http://"+ln.Addr().String(), "text/plain", strings.NewReader("x"))
--- a/internal/logging/keys.go
+++ b/internal/logging/keys.go
@@ -133,6 +133,13 @@
 	{"open", "whether the service takes requests again"},
 	{"out", "whether the failure domain is out from now on"},
 }}, {"process", "the process, the store and other entries", []Key{
+	{"listener", "name of the listener that clients reached a bound of"},
+	{"connections", "number of open connections of its clients"},
+	{"max_connections", "bound on them"},
+	{"held_bytes", "memory that is held for them, as the process counts it"},
+	{"max_held_bytes", "bound on that memory"},
+	{"connections_closed", "number of connections that were closed to make room since the last such line"},
+	{"connections_refused", "number of connections and requests that were refused for lack of room since the last such line"},
 	{"ip", "IP address of this VM, or of the entry that was removed"},
 	{"engine", "address of the engine on this VM"},
 	{"store", "address of the platform's store"},
--- a/internal/rankagent/rankagent.go
+++ b/internal/rankagent/rankagent.go
@@ -22,8 +22,9 @@
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/internal/bounded"
 	"github.com/apricothub/apricothub/internal/clock"
-	"github.com/apricothub/apricothub/internal/logging"
+	"github.com/apricothub/apricothub/internal/httpguard"
 	"github.com/apricothub/apricothub/internal/ranks"
+	"github.com/apricothub/apricothub/internal/resources"
 	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/internal/sockets"
 	"github.com/apricothub/apricothub/internal/textmetrics"
@@ -33,10 +34,16 @@
 const (
 	// maxRequestBytes limits a request. It leaves room for a map of thousands of experts.
 	maxRequestBytes = 4 << 20
-	// readTimeout limits the time to read a request.
+	// readTimeout limits the time to read a header, and that to read a body.
 	readTimeout = 2 * time.Second
 	// writeTimeout limits the time from the end of its header to the end of the reply.
 	writeTimeout = 5 * time.Second
+	// clientsMemory is the part of the VM's memory, clientsSockets the part of the process's sockets that clients may
+	// take. The rest is for the engine's answers and its connections.
+	clientsMemory  = 1.0 / 4
+	clientsSockets = 1.0 / 2
+	// replyBytes is what a request holds on average, without its body.
+	replyBytes = 64 << 10
 	// idleTimeout is how long a connection of a coordinator may be idle.
 	idleTimeout = 30 * time.Second
 	// shutdownTimeout limits the time for requests in flight to complete at shutdown.
@@ -54,13 +61,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for the coordinator")
 	}
-	server := &http.Server{
-		Handler: a.handler(), ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: bounded.MaxHeaderBytes,
-		ErrorLog: logging.NewStdLogger(logger, "The library for HTTP reports an error.", result.Label(api.ResultCode_INTERNAL)),
-	}
+	guard := newGuard(resources.Of(s.MemoryBytes, s.Descriptors), a.metrics.registry, logger)
+	server := guard.NewServer(a.handler())
 	_ = level.Info(logger).Log("msg", "The process starts.", "failure_domain", s.FailureDomain, "engine", s.Engine)
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	go func() { failed <- server.Serve(guard.Listener(listener)) }()
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "serve")
@@ -73,6 +78,17 @@
 	return nil
 }
 
+// newGuard returns the guard of the listener for coordinators.
+func newGuard(available resources.Resources, registry metrics.Registry, logger log.Logger) *httpguard.Guard {
+	return httpguard.New(httpguard.Options{
+		Name: "coordinators", Connections: available.Descriptors(clientsSockets), Bytes: available.Memory(clientsMemory),
+		RequestBytes: replyBytes, WriteTime: writeTimeout, Logger: logger, Registry: registry,
+		Limits: func() httpguard.Limits {
+			return httpguard.Limits{HeaderBytes: bounded.MaxHeaderBytes, HeaderTime: readTimeout, BodyTime: readTimeout, IdleTime: idleTimeout}
+		},
+	})
+}
+
 type agent struct {
 	engine  *ranks.Executor
 	logger  log.Logger
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 )
 
@@ -23,15 +24,37 @@
 // keepAlive detects silent connections on which nothing waits to be acknowledged.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}
 
+// ReceiveBufferBytes and SendBufferBytes are the sizes of the buffers of an accepted connection. The kernel lets them grow
+// to megabytes otherwise, which many clients together could fill, also before their connections are accepted.
+const (
+	ReceiveBufferBytes = 16 << 10
+	SendBufferBytes    = 32 << 10
+)
+
 // NewListenConfig returns the configuration of a listener. What is sent to a peer that takes none of it is
 // limited by the write deadline of the server, not by the socket: a caller may read as late as it likes.
 func NewListenConfig() net.ListenConfig {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive}
+	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: limitBuffers}
 	// The library listens with Multipath TCP by default, whose sockets lack options of TCP.
 	config.SetMultipathTCP(false)
 	return config
 }
 
+// limitBuffers sets the buffers of a listening socket, which its connections inherit. On a connection it would be too
+// late: the client has been told of the room before.
+func limitBuffers(_, _ string, raw syscall.RawConn) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		if err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, ReceiveBufferBytes); err == nil {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, SendBufferBytes)
+		}
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
 // Dialer opens connections that are closed once the peer acknowledges nothing for ackTimeout.
 type Dialer struct{ dialer net.Dialer }
 
