Keep the listener for links when descriptors run out

What users saw: enough connections to the listener for links ended an agent ("accept4: too many open files") and made an entry refuse all work for good: its links, and with them its configuration, were gone, and its admin address too.

Cause: link.Serve returns the first error of Accept, and a member ends with it. Nothing bounded the connections that have not proved the key.

Change: the listener for links has a guard. Connections that have not proved the key yield to new ones, established links do not, and a failure to accept that passes is tried again.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -19,10 +18,13 @@
 
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/internal/clock"
+	"github.com/apricothub/apricothub/internal/httpguard"
 	"github.com/apricothub/apricothub/internal/link"
 	"github.com/apricothub/apricothub/internal/member"
 	"github.com/apricothub/apricothub/internal/platform"
+	"github.com/apricothub/apricothub/internal/resources"
 	"github.com/apricothub/apricothub/internal/result"
+	"github.com/apricothub/apricothub/internal/sockets"
 	"github.com/apricothub/apricothub/internal/version"
 )
 
@@ -74,18 +76,30 @@
 	groupStatus atomic.Pointer[api.GroupStatus]
 }
 
+// linksMemory is the part of the VM's memory, linksSockets the part of the process's sockets that links from other
+// processes may take. The rest of the sockets is for the backend server, the platform and the admin address.
+const (
+	linksMemory  = 1.0 / 4
+	linksSockets = 3.0 / 4
+)
+
 // Run serves as an agent until the context ends. Then it drains: it accepts no new work, waits for
 // the work in flight and returns.
 func Run(ctx context.Context, settings *api.AgentSettings, logger log.Logger) error {
 	a := newAgent(settings, logger)
-	ln, err := net.Listen("tcp", settings.GetListen().GetLink())
+	listenConfig := sockets.NewListenConfig()
+	ln, err := listenConfig.Listen(ctx, "tcp", settings.GetListen().GetLink())
 	if err != nil {
 		return errors.Wrap(err, "listen for links")
 	}
+	available := resources.Of(0, 0)
+	links := httpguard.New(httpguard.Options{
+		Name: "links", Connections: available.Descriptors(linksSockets), Bytes: available.Memory(linksMemory), Logger: logger, Registry: a.registry,
+	})
 	workCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group run.Group
-	group.Add(func() error { return a.node.Run(workCtx, ln) }, func(error) { stop() })
+	group.Add(func() error { return a.node.Run(workCtx, links.Listener(ln)) }, func(error) { stop() })
 	group.Add(func() error { return a.executor.pollEngine(workCtx) }, func(error) { stop() })
 	group.Add(func() error { return a.executor.runOrders(workCtx) }, func(error) { stop() })
 	group.Add(func() error { return a.serveAdmin(workCtx) }, func(error) { stop() })
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/apricothub/apricothub/internal/httpguard"
 	"github.com/apricothub/apricothub/internal/resources"
 )
@@ -11,6 +14,7 @@
 // this entry opens itself, for the admin address and for the platform.
 const (
 	callersMemory, callersSockets = 1.0 / 4, 1.0 / 2
+	linksMemory, linksSockets     = 1.0 / 8, 1.0 / 4
 )
 
 // callerRequestBytes is what a request holds on average, without its header and body.
@@ -29,3 +33,10 @@
 		Limits: func() httpguard.Limits { return limits },
 	})
 }
+
+// newLinksGuard returns the guard of the listener for links.
+func newLinksGuard(available resources.Resources, logger log.Logger, registry metrics.Registry) *httpguard.Guard {
+	return httpguard.New(httpguard.Options{
+		Name: "links", Connections: available.Descriptors(linksSockets), Bytes: available.Memory(linksMemory), Logger: logger, Registry: registry,
+	})
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -89,12 +89,13 @@
 		return errors.Wrap(err, "listen for callers")
 	}
 	available := resources.Of(0, 0)
+	links := newLinksGuard(available, logger, e.registry)
 	callers := e.newCallersGuard(available)
 	server := callers.NewServer(e.handler())
 	workCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group run.Group
-	group.Add(func() error { return e.node.Run(workCtx, linkListener) }, func(error) { stop() })
+	group.Add(func() error { return e.node.Run(workCtx, links.Listener(linkListener)) }, func(error) { stop() })
 	group.Add(func() error { return e.serveAdmin(workCtx) }, func(error) { stop() })
 	group.Add(func() error { return e.keys.readLoop(workCtx) }, func(error) { stop() })
 	group.Add(func() error { return e.keys.appendLoop(workCtx) }, func(error) { stop() })
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -137,11 +137,15 @@
 		if err != nil {
 			return err
 		}
-		go accept(cfg.countBytes(&coalescingConn{Conn: conn}), cfg, h)
+		go accept(conn, cfg, h)
 	}
 }
 
-func accept(conn net.Conn, cfg Config, h Handler) {
+// guarded is a connection whose listener closes it to make room, unless it is established.
+type guarded interface{ Established() }
+
+func accept(accepted net.Conn, cfg Config, h Handler) {
+	conn := cfg.countBytes(&coalescingConn{Conn: accepted})
 	peer, authenticated, err := authenticate(conn, cfg, listener)
 	if err != nil {
 		if errors.Is(err, ErrWrongKey) && cfg.OnWrongKey != nil {
@@ -155,6 +159,9 @@
 		_ = conn.Close()
 		return
 	}
+	if g, ok := accepted.(guarded); ok {
+		g.Established()
+	}
 	// Limits the wait for a dialer that never opens the control stream.
 	timer := time.AfterFunc(cfg.DeadAfter, func() { _ = conn.Close() })
 	controlConn, err := mux.Accept()
