Let operators in beside a crowd at the admin address

What operators saw: beside 700 connections to the admin address of an agent no question with a time limit of 500 ms was answered for 30 s.

Cause: new connections may take 20 ms for their header before others push them out, and the admin address has 1/32 of the sockets: of 12 connections 6, so 300 new ones a second, and a question waited more than 2 s to be accepted.

--- a/decide/shed/shed.go
+++ b/decide/shed/shed.go
@@ -39,7 +39,7 @@
 	openingTime = time.Second
 	// minOpeningTime is how long a new connection is at least left to send its header. Clients that connect anew all the
 	// time would otherwise push out others before their headers are read.
-	minOpeningTime = 20 * time.Millisecond
+	minOpeningTime = 5 * time.Millisecond
 	// minHoldTime is the least time for which memory counts as held. Otherwise a connection would never yield at the
 	// moment at which it takes the most.
 	minHoldTime = 100 * time.Millisecond
--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -32,7 +32,7 @@
 	// clientsMemory is the part of the VM's memory, clientsSockets the part of the process's sockets that the
 	// clients may take.
 	clientsMemory  = 1.0 / 8
-	clientsSockets = 1.0 / 32
+	clientsSockets = 1.0 / 16
 	// dumpBytes is what the state of the process takes on average.
 	dumpBytes = 512 << 10
 )
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -80,7 +80,7 @@
 // processes may take. The rest of the sockets is for the backend server, the platform and the admin address.
 const (
 	linksMemory  = 1.0 / 4
-	linksSockets = 3.0 / 4
+	linksSockets = 5.0 / 8
 )
 
 // Run serves as an agent until the context ends. Then it drains: it accepts no new work, waits for
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -13,8 +13,8 @@
 // Parts of the memory of the VM and of the sockets of the process. What is left of the sockets is for the links that
 // this entry opens itself, for the admin address and for the platform.
 const (
-	callersMemory, callersSockets = 1.0 / 4, 1.0 / 2
-	linksMemory, linksSockets     = 1.0 / 8, 1.0 / 4
+	callersMemory, callersSockets = 1.0 / 4, 3.0 / 8
+	linksMemory, linksSockets     = 1.0 / 8, 3.0 / 16
 )
 
 // callerRequestBytes is what a request holds on average, without its header and body.
