Test planned stops beside clients that do not behave

The crowds at the callers' listeners now have a team or customer of their own: with the key of the ordinary callers their valid slow requests take its share too, and a refusal of the ordinary request (OVER_SHARE, or all servers full) is right. The kinds, the number of clients and the bounds are as before.

--- a/test/clients_test.go
+++ b/test/clients_test.go
@@ -65,12 +65,7 @@
 	usage := harness.MonitorUsage(p.process, addresses...)
 	ctx, cancel := context.WithTimeout(t.Context(), crowdTimeout)
 	defer cancel()
-	var crowd sync.WaitGroup
-	var connections atomic.Int64
-	for n := range crowdClients {
-		listener, kind := listeners[n%len(listeners)], kinds[n/len(listeners)%len(kinds)]
-		crowd.Go(func() { connections.Add(int64(beRude(ctx, listener, kind, n))) })
-	}
+	crowd := startCrowd(ctx, listeners, kinds)
 	if p.ordinary != nil {
 		crowd.Go(func() { p.ordinary(ctx) })
 	}
@@ -85,7 +80,7 @@
 	crowd.Wait()
 	peak := usage.Stop()
 	t.Logf("%s: %d MB at the peak (resident %d MB, in sockets %d MB), %d descriptors, %d connections", t.Name(),
-		peak.Memory/1e6, peak.Resident/1e6, peak.Queued/1e6, peak.Descriptors, connections.Load())
+		peak.Memory/1e6, peak.Resident/1e6, peak.Queued/1e6, peak.Descriptors, crowd.connections.Load())
 	select {
 	case <-p.process.Ended():
 		t.Fatalf("the process has ended: %s", p.process.Tail())
@@ -109,6 +104,22 @@
 	}
 }
 
+// crowd is the clients that do not behave.
+type crowd struct {
+	sync.WaitGroup
+	connections atomic.Int64
+}
+
+// startCrowd lets a crowd of some kinds connect to some listeners until the context ends.
+func startCrowd(ctx context.Context, listeners []crowdListener, kinds []clientKind) *crowd {
+	c := &crowd{}
+	for n := range crowdClients {
+		listener, kind := listeners[n%len(listeners)], kinds[n/len(listeners)%len(kinds)]
+		c.Go(func() { c.connections.Add(int64(beRude(ctx, listener, kind, n))) })
+	}
+	return c
+}
+
 // askUntil sends ordinary requests until one is answered or the context ends.
 func askUntil(ctx context.Context, l crowdListener) error {
 	for {
@@ -365,22 +376,24 @@
 
 // Guards against clients of an entry that take its memory or descriptors, or keep ordinary callers out.
 func TestEntryEnduresClientsThatDoNotBehave(t *testing.T) {
-	playAll(t, []string{"callers", "admin", "links"}, func(t *testing.T) *crowdedProcess {
-		c := startCrowdedCluster(t)
-		m := c.Entries[1]
-		lines := "Host: h.example\r\nAuthorization: Bearer " + harness.Key + "\r\nApricothub-Deadline-Ms: 20000\r\n"
-		long := func(stream bool) string {
-			body := fmt.Sprintf(`{"model":%q,"prompt":"rude","seed":1,"max_tokens":20000,"stream":%t}`, harness.Model, stream)
-			return fmt.Sprintf("POST /v1/completions HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", lines, len(body), body)
-		}
-		return &crowdedProcess{t: t, process: m.Process, listeners: []crowdListener{
-			{
-				name: "callers", address: m.Public, request: "GET /v1/addresses HTTP/1.1\r\n" + lines,
-				post: "POST /v1/completions HTTP/1.1\r\n" + lines, long: []string{long(false), long(true)}, ask: completer(t, c, 1),
-			},
-			adminListener(m), linkListener(m, c),
-		}}
-	})
+	playAll(t, []string{"callers", "admin", "links"}, startCrowdedEntry)
+}
+
+func startCrowdedEntry(t *testing.T) *crowdedProcess {
+	c := startCrowdedCluster(t)
+	m := c.Entries[1]
+	lines := "Host: h.example\r\nAuthorization: Bearer " + harness.OtherKey + "\r\nApricothub-Deadline-Ms: 20000\r\n"
+	long := func(stream bool) string {
+		body := fmt.Sprintf(`{"model":%q,"prompt":"rude","seed":1,"max_tokens":20000,"stream":%t}`, harness.Model, stream)
+		return fmt.Sprintf("POST /v1/completions HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", lines, len(body), body)
+	}
+	return &crowdedProcess{t: t, process: m.Process, listeners: []crowdListener{
+		{
+			name: "callers", address: m.Public, request: "GET /v1/addresses HTTP/1.1\r\n" + lines,
+			post: "POST /v1/completions HTTP/1.1\r\n" + lines, long: []string{long(false), long(true)}, ask: completer(t, c, 1),
+		},
+		adminListener(m), linkListener(m, c),
+	}}
 }
 
 // Guards against clients of an agent that take its memory or descriptors, or keep entries from linking to it.
@@ -391,3 +404,21 @@
 		return &crowdedProcess{t: t, process: m.Process, listeners: []crowdListener{adminListener(m), linkListener(m, c)}}
 	})
 }
+
+// Guards against a planned stop that hangs or fails beside clients that do not behave.
+func TestStopEndsBesideClientsThatDoNotBehave(t *testing.T) {
+	skipIfShort(t)
+	for name, start := range map[string]func(*testing.T) *crowdedProcess{"gateway": startCrowdedGateway, "entry": startCrowdedEntry} {
+		t.Run(name, func(t *testing.T) {
+			p := start(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			crowd := startCrowd(ctx, p.listeners, kindsFor(p.listeners...))
+			time.Sleep(crowdTime)
+			if status := p.process.Terminate(); status != 0 {
+				t.Errorf("the process ended with status %d", status)
+			}
+			cancel()
+			crowd.Wait()
+		})
+	}
+}
