Do not run a request whose connection yielded during its body

Cause, by reading: a connection can yield between the last read of its body and the record that the request is in flight. The handler then had a whole body and sent the request to a backend server, though its client could get no answer.

Change: the end of the body is an error if the connection has yielded.

Result: TestARequestOfAConnectionThatYieldedIsNotRead failed before ("error <nil>"), and passes. A connection that was marked as stalled just as its write ended is no longer marked in its next request.

--- a/decide/shed/shed.go
+++ b/decide/shed/shed.go
@@ -148,13 +148,14 @@
 	t.bytes -= bytes
 }
 
-// Move records that a connection has come into a phase.
-func (t *Table[O]) Move(c *Conn[O], p Phase, now time.Duration) {
+// Move records that a connection has come into a phase. It returns false for one that was removed.
+func (t *Table[O]) Move(c *Conn[O], p Phase, now time.Duration) bool {
 	if c.element == nil {
-		return
+		return false
 	}
 	t.byPhase[c.phase].Remove(c.element)
 	t.enter(c, p, now)
+	return true
 }
 
 // Remove removes a connection. It does nothing for one that was removed before.
--- a/internal/httpguard/body.go
+++ b/internal/httpguard/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -29,7 +30,8 @@
 	isRead bool
 }
 
-// Read implements io.Reader. It returns a SATURATED [result.Error] if there is no room for the body.
+// Read implements io.Reader. It returns a SATURATED [result.Error] if there is no room for the body, and net.ErrClosed if
+// the connection has yielded.
 func (b *countedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.uncounted += int64(n)
@@ -43,7 +45,10 @@
 		b.isRead = true
 		b.c.bodyDeadline = time.Time{}
 		_ = b.c.Conn.SetReadDeadline(time.Time{})
-		b.c.guard.move(b.c, shed.InFlight, 0)
+		if !b.c.guard.move(b.c, shed.InFlight, 0) {
+			// Its client can get no answer, so the request must not run.
+			return n, net.ErrClosed
+		}
 	}
 	return n, err
 }
--- a/internal/httpguard/connection.go
+++ b/internal/httpguard/connection.go
@@ -56,6 +56,7 @@
 		c.notifyAnswered()
 		c.guard.move(c, shed.Idle, c.held)
 		c.held = 0
+		c.isStalled.Store(false)
 		c.body, c.bodyDeadline = nil, time.Time{}
 		c.beginHeader()
 	case http.StateClosed:
--- a/internal/httpguard/guard.go
+++ b/internal/httpguard/guard.go
@@ -187,12 +187,13 @@
 	return ok
 }
 
-// move records that a connection has come into a phase, and counts bytes that are held no longer.
-func (g *Guard) move(c *connection, p shed.Phase, released int64) {
+// move records that a connection has come into a phase, and counts bytes that are held no longer. It returns false if the
+// connection has yielded.
+func (g *Guard) move(c *connection, p shed.Phase, released int64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.table.Release(c.slot, released)
-	g.table.Move(c.slot, p, clock.Now())
+	return g.table.Move(c.slot, p, clock.Now())
 }
 
 func (g *Guard) remove(c *connection) {
--- a/internal/httpguard/guard_test.go
+++ b/internal/httpguard/guard_test.go
@@ -298,3 +298,18 @@
 		}
 	}
 }
+
+// Guards against running a request whose connection has yielded while the end of its body was read.
+func TestARequestOfAConnectionThatYieldedIsNotRead(t *testing.T) {
+	guard := newTestGuard(generous, 1, 1<<20)
+	_, server := net.Pipe()
+	c := &connection{Conn: server, guard: guard}
+	if !guard.open(c) {
+		t.Fatal("not admitted")
+	}
+	guard.remove(c)
+	body := &countedBody{ReadCloser: io.NopCloser(strings.NewReader("x")), c: c}
+	if _, err := io.ReadAll(body); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("error %v", err)
+	}
+}
