Split the decision on a full window of latencies

evaluateWindow mixed when latency is near the warm one, when a difference counts, and what the warm latency is after it got worse. Each has a function with its reason now. No decision changes; the tests of decide/cold pass.

--- a/decide/cold/grow.go
+++ b/decide/cold/grow.go
@@ -119,42 +119,58 @@
 		l.window = window{}
 		return
 	}
-	w := &l.window
-	current, baseline := w.current, w.baseline
-	w.current = sample{}
-	similar := math.Log(l.cfg.SimilarFactor)
-	// Cold latencies are SlowFactor and more times the warm one. A latency nearer to the warm one
-	// on the logarithmic scale counts as warm, since load raises it slightly too.
-	if l.warmLatency > 0 && l.areGapsWarm() && current.mean < math.Log(float64(l.warmLatency))+math.Log(l.cfg.SlowFactor)/2 {
-		l.setLimit(current, l.limit+(l.limit+1)/2)
-		return
-	}
-	if baseline.count == 0 {
-		w.baseline = current
-		return
-	}
-	minChange := max(similar, significantErrors*math.Sqrt(current.meanVariance()+baseline.meanVariance()))
+	current, baseline := l.window.current, l.window.baseline
+	l.window.current = sample{}
+	minChange := l.minChange(current, baseline)
 	switch {
+	case l.isWarmAgain(current):
+		l.setLimit(current, halfMore(l.limit))
+	case baseline.count == 0:
+		l.window.baseline = current
 	case current.mean > baseline.mean+max(minChange, math.Log(l.cfg.WorseFactor)):
 		if l.warmLatency == 0 {
-			// The server was faster before, so the current latency is not the warm one. The warm
-			// latency is set to the baseline plus part of the increase, which does little harm if
-			// the baseline was low by chance. It must not take the whole increase, which may have
-			// any size when a backend server has turned cold.
-			worse := min(current.mean-baseline.mean, 2*math.Log(l.cfg.WorseFactor))
-			l.warmLatency = time.Duration(math.Exp(baseline.mean + worse/2))
+			l.estimateWarmLatency(current, baseline)
 		}
 		l.setLimit(current, max(l.limit*2/3, l.cfg.ColdLimit))
 	case current.mean < baseline.mean-minChange && !l.hasGapWindow():
 		l.setLimit(current, l.limit+max(1, l.limit/4))
 	default:
-		w.similarCount++
-		if w.similarCount >= l.requiredWindows() {
-			l.setLimit(current, l.limit+(l.limit+1)/2)
+		l.window.similarCount++
+		if l.window.similarCount >= l.requiredWindows() {
+			l.setLimit(current, halfMore(l.limit))
 		}
 	}
 }
 
+// halfMore returns a limit that is half as large again.
+func halfMore(limit int) int { return limit + (limit+1)/2 }
+
+// minChange returns the least difference between the means of two windows, as logarithms, that is attributed to the
+// backend server.
+func (l *Limiter) minChange(current, baseline sample) float64 {
+	similar := math.Log(l.cfg.SimilarFactor)
+	if baseline.count == 0 {
+		return similar
+	}
+	return max(similar, significantErrors*math.Sqrt(current.meanVariance()+baseline.meanVariance()))
+}
+
+// isWarmAgain reports whether the latencies of a window are near the warm latency. Cold ones are SlowFactor and more
+// times as long. A latency nearer to the warm one on the logarithmic scale counts as warm, since load raises it slightly
+// too.
+func (l *Limiter) isWarmAgain(current sample) bool {
+	return l.warmLatency > 0 && l.areGapsWarm() &&
+		current.mean < math.Log(float64(l.warmLatency))+math.Log(l.cfg.SlowFactor)/2
+}
+
+// estimateWarmLatency sets the unknown warm latency after the latency has got worse: the server was faster before, so the
+// current latency is not the warm one. It takes part of the increase, which does little harm if the baseline was low by
+// chance, and not the whole, which may have any size when a backend server has turned cold.
+func (l *Limiter) estimateWarmLatency(current, baseline sample) {
+	worse := min(current.mean-baseline.mean, 2*math.Log(l.cfg.WorseFactor))
+	l.warmLatency = time.Duration(math.Exp(baseline.mean + worse/2))
+}
+
 func (l *Limiter) requiredWindows() int {
 	switch {
 	case l.warmLatency > 0:
