--- a/internal/entry/slowcallers_test.go
+++ b/internal/entry/slowcallers_test.go
@@ -4,16 +4,15 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/internal/link"
+	"github.com/apricothub/apricothub/test/harness"
 )
 
 // Guards against answers that are cut because their caller reads late: the agent has sent them, and the deadline is
@@ -59,12 +58,7 @@
 // answer, and reads the rest.
 func readSlowly(address string, pause time.Duration) (string, error) {
 	const receiveBuffer = 2 << 10
-	dialer := &net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
-		})
-	}}
-	conn, err := dialer.Dial("tcp", address)
+	conn, err := harness.NewSmallReader(receiveBuffer).Dial("tcp", address)
 	if err != nil {
 		return "", err
 	}
--- a/internal/gateway/slowcallers_test.go
+++ b/internal/gateway/slowcallers_test.go
@@ -10,11 +10,11 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/apricothub/apricothub/test/fakeplatform"
+	"github.com/apricothub/apricothub/test/harness"
 )
 
 const (
@@ -56,12 +56,7 @@
 // readSlowly sends a request on a connection of its own, stops reading after the header of the answer, and reads
 // the rest.
 func readSlowly(e *entry, path, id string) (body string, err error) {
-	dialer := &net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowReadBuffer)
-		})
-	}}
-	conn, err := dialer.Dial("tcp", e.settings.Listen.Callers)
+	conn, err := harness.NewSmallReader(slowReadBuffer).Dial("tcp", e.settings.Listen.Callers)
 	if err != nil {
 		return "", err
 	}
--- a/internal/sockets/conn_test.go
+++ b/internal/sockets/conn_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricothub/apricothub/internal/sockets"
+	"github.com/apricothub/apricothub/test/harness"
 )
 
 const (
@@ -52,16 +53,7 @@
 
 // dialAsCaller dials with a small receive buffer, as a caller may.
 func dialAsCaller(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		if controlErr := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBuffer)
-		}); controlErr != nil {
-			return controlErr
-		}
-		return err
-	}}
-	return d.DialContext(ctx, network, address)
+	return harness.NewSmallReader(smallBuffer).DialContext(ctx, network, address)
 }
 
 func newDial() dial { return sockets.NewDialer(time.Second).DialContext }
--- a/test/clients_kinds_test.go
+++ b/test/clients_kinds_test.go
@@ -7,8 +7,9 @@
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"time"
+
+	"github.com/apricothub/apricothub/test/harness"
 )
 
 // rudeClient is a client that does not behave, on one connection.
@@ -189,15 +190,7 @@
 func dialRudely(address string, number int) (net.Conn, error) {
 	const hosts = 250
 	from := &net.TCPAddr{IP: net.IPv4(127, 1, byte(1+number/hosts%hosts), byte(1+number%hosts))}
-	dialer := &net.Dialer{Timeout: time.Second, LocalAddr: from, Control: func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		controlErr := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, rudeReadBuffer)
-		})
-		if controlErr != nil {
-			return controlErr
-		}
-		return err
-	}}
+	dialer := harness.NewSmallReader(rudeReadBuffer)
+	dialer.Timeout, dialer.LocalAddr = time.Second, from
 	return dialer.Dial("tcp", address)
 }
