--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 LDFLAGS := -X github.com/apricothub/apricothub/internal/version.built=$(VERSION)
 export PATH := $(CURDIR)/$(TOOLS):$(PATH)
 
-.PHONY: build tools gopls generate fmt check unit race explore spec models failure failure-all hunt explain-drill demo test measure slopes soak soak-seeds soak-large clean
+.PHONY: build tools gopls generate fmt check unit race explore spec models failure failure-all hunt explain-drill demo test measure slopes soak soak-seeds soak-large clients clean
 
 build:
 	@mkdir -p $(BIN)
@@ -78,6 +78,11 @@
 soak-large: build
 	APRICOTHUB_SOAK=$(or $(MINUTES),2)m APRICOTHUB_SOAK_GATEWAYS=60 APRICOTHUB_SOAK_ENGINES=140 $(SOAK) -run TestSiteSoak
 
+# Clients that do not behave, each kind alone at each listener: half an hour in all. RUN=regexp selects some, such as
+# RUN=Gateway/callers. The bounds are on memory, so nothing else should run on the machine.
+clients: build
+	go test -count=1 -timeout 60m -v -run '$(subst /,.*DoNotBehave/,$(or $(RUN),DoNotBehave))' ./test/
+
 # All long-running checks, for nightly or manual runs.
 hunt: race explore models failure-all soak
 
