Hand out no check of a server that has finished

What was seen: TestOnlyAServerThatRefusesConnectionsHasEnded failed once in a run of all unit tests ("a server that refuses connections does not count as ended"), and in none of 300 runs of its own.

Cause: a check of a server is announced as done before it is taken out of the table of checks. Who asks in between gets the finished one, with the state of a moment ago. A request could count its server as alive that has just ended.

Evidence: with a pause of 1 ms between the two the test fails each time, with the same message. With the new order no pause can matter.

Change: the check leaves the table first.

--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -76,14 +76,14 @@
 	go func() {
 		c.run(s.Address)
 		p.mu.Lock()
-		defer p.mu.Unlock()
 		delete(p.checks, key)
+		p.mu.Unlock()
+		close(c.done)
 	}()
 	return c
 }
 
 func (c *endCheck) run(address string) {
-	defer close(c.done)
 	began := clock.Now()
 	for i, at := range endChecks {
 		time.Sleep(began + at - clock.Now())
