Refuse responses that are malformed by RFC 9112

What callers saw: a response whose head has a space in the name of a field, or before a colon, came through as an answer. Where the field gives the length or the coding of the body, the request ended with 504 at its deadline or the stream was cut. A refusal in such a head was believed, so that a request that may run once was sent to a second server; its limit, rest and leaving notice were obeyed, so that a service with one server refused all work.

Cause: http.ReadResponse, which both request paths and all transports read with, takes more than RFC 9112 allows: spaces in names, folded lines, any version, several spaces before the status, control characters in the reason and in chunk lines, a length beside a coding, codings in HTTP/1.0, and the same in interim responses and trailers. Those who see its result cannot tell what it dropped.

Evidence: test/malformed has 74 malformed responses. Not-run refusals and statements in such a head counted in all cases but a control character in a value.

Change: a scanner in internal/response follows the bytes of a connection from response to response and fails at the first byte that belongs to none, before net/http has seen the end of the head. It is a state machine without I/O. response.Reader serves gateways and agents, response.Transport everything that uses http.Transport: agents' other ways of sending, queries and orders, the clients of engines, the store, the platform, rank agents and other entries, and the operators' client. The scanner limits heads and trailers in bytes, and tells whether anything came after the last response, which decides whether a connection is used again.

Why it works: the attempt fails before anything of the head is recorded, counts as "may have run", and as a failure of the server. So what may run once runs once, what may be repeated is answered by another server, the server is ejected for a while and tried again, and its connection is closed.

--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -18,6 +18,7 @@
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/internal/adminapi"
 	"github.com/apricothub/apricothub/internal/bounded"
+	"github.com/apricothub/apricothub/internal/response"
 	"github.com/apricothub/apricothub/internal/result"
 )
 
@@ -45,7 +46,7 @@
 		baseURL: "http://" + address, token: token,
 		httpClient: &http.Client{
 			// Proxies from the environment are ignored: the token is sent to this address only.
-			Transport:     bounded.Transport(&http.Transport{DisableKeepAlives: true}),
+			Transport:     response.Transport(&http.Transport{DisableKeepAlives: true}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}, nil
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -38,10 +38,6 @@
 // errIncompleteStream reports a stream that ended without its last event.
 var errIncompleteStream = errors.New("the stream ended before [DONE]")
 
-// errTooManyInterim reports a backend server that sent more than maxInterimAnswers interim
-// answers.
-var errTooManyInterim = errors.New("the backend server sent too many interim answers")
-
 // backendError is a failure at the backend server.
 type backendError struct {
 	// Sent says that the request may have reached the backend server.
@@ -75,7 +71,7 @@
 	return &backend{
 		base:    base,
 		oneshot: newOneshot(base),
-		transport: bounded.Transport(&http.Transport{
+		transport: response.Transport(&http.Transport{
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 			Proxy:              nil,
@@ -106,10 +102,6 @@
 	if err != nil {
 		return nil, &backendError{Sent: connected.Load(), Err: err}
 	}
-	if err := response.CheckStatus(resp.StatusCode); err != nil {
-		_ = resp.Body.Close()
-		return nil, &backendError{Sent: true, Err: err}
-	}
 	return resp, nil
 }
 
--- a/internal/agent/engineclient.go
+++ b/internal/agent/engineclient.go
@@ -16,6 +16,7 @@
 
 	"github.com/apricothub/apricothub/coord/expertmap"
 	"github.com/apricothub/apricothub/internal/bounded"
+	"github.com/apricothub/apricothub/internal/response"
 )
 
 const (
@@ -50,7 +51,7 @@
 
 func newEngineClient(base, incarnation string) *engineClient {
 	c := &engineClient{base: strings.TrimSuffix(base, "/"), incarnation: incarnation}
-	c.transport = bounded.Transport(&http.Transport{
+	c.transport = response.Transport(&http.Transport{
 		DialContext:         c.dial,
 		MaxConnsPerHost:     1,
 		MaxIdleConnsPerHost: 1,
--- a/internal/agent/oneshot.go
+++ b/internal/agent/oneshot.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -13,16 +12,10 @@
 	"github.com/apricothub/apricothub/internal/response"
 )
 
-const (
-	// maxOneshotBodyBytes limits the body of a request that oneshot sends. Up to this size the
-	// request fits the buffers of the connection, so that it is sent completely before the answer
-	// is read, even to a backend server that answers without reading it.
-	maxOneshotBodyBytes = 64 << 10
-	// maxAnswerHeaderBytes limits the status line and header of an answer.
-	maxAnswerHeaderBytes = bounded.MaxHeaderBytes
-	// maxInterimAnswers limits the interim answers before the final one.
-	maxInterimAnswers = 5
-)
+// maxOneshotBodyBytes limits the body of a request that oneshot sends. Up to this size the
+// request fits the buffers of the connection, so that it is sent completely before the answer
+// is read, even to a backend server that answers without reading it.
+const maxOneshotBodyBytes = 64 << 10
 
 // oneshot sends each request over a connection of its own, on the caller's goroutine, with the
 // parts of net/http below Transport. Transport uses three goroutines and about six wake-ups for
@@ -82,19 +75,13 @@
 	if _, err := conn.Write(text.Bytes()); err != nil {
 		return nil, err
 	}
-	limited := bounded.NewReader(conn, maxAnswerHeaderBytes, "the header of an answer")
-	reader := bufio.NewReader(limited)
-	for range maxInterimAnswers {
-		resp, err := http.ReadResponse(reader, req)
-		if err != nil {
-			return nil, err
-		}
-		if !response.IsInterim(resp.StatusCode) {
-			limited.Allow(maxAnswerBytes, answerName)
-			return resp, nil
-		}
+	limited := bounded.NewReader(conn, bounded.MaxHeaderBytes, "the header of an answer")
+	resp, err := response.NewReader(limited).Next(req)
+	if err != nil {
+		return nil, err
 	}
-	return nil, errTooManyInterim
+	limited.Allow(maxAnswerBytes, answerName)
+	return resp, nil
 }
 
 // oneshotAnswer is the body of an answer. The Close of the wrapped body would read to its end,
--- a/internal/agent/oneshot_test.go
+++ b/internal/agent/oneshot_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/internal/bounded"
 )
 
 // rawServer answers each connection with the same text and then keeps it open.
@@ -36,8 +37,8 @@
 	}{
 		"at once":         {final, true},
 		"after interim":   {interim + interim + final, true},
-		"interim only":    {strings.Repeat(interim, 2*maxInterimAnswers) + final, false},
-		"header too long": {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*maxAnswerHeaderBytes), false},
+		"interim only":    {strings.Repeat(interim, 10) + final, false},
+		"header too long": {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*bounded.MaxHeaderBytes), false},
 		"not HTTP":        {"SSH-2.0\r\n\r\n", false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/agent/query.go
+++ b/internal/agent/query.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricothub/apricothub/internal/bounded"
+	"github.com/apricothub/apricothub/internal/response"
 )
 
 const (
@@ -23,7 +24,7 @@
 // newQueryTransport returns the transport for queries. A query may be sent twice, so connections
 // may be kept: one for each polling goroutine.
 func newQueryTransport() *http.Transport {
-	return bounded.Transport(&http.Transport{
+	return response.Transport(&http.Transport{
 		DisableCompression:  true,
 		Proxy:               nil,
 		MaxIdleConnsPerHost: 3,
--- a/internal/experts/asking.go
+++ b/internal/experts/asking.go
@@ -23,10 +23,10 @@
 
 // callAll sends requests to all engines concurrently and waits for the responses. Engines for which
 // request returns nil are skipped.
-func (c *Coordinator) callAll(ctx context.Context, engines []Engine, request requestFunc) []response {
+func (c *Coordinator) callAll(ctx context.Context, engines []Engine, request requestFunc) []rankResponse {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	responses := make([]response, len(engines))
+	responses := make([]rankResponse, len(engines))
 	var wait sync.WaitGroup
 	for i, e := range engines {
 		if request(e, false) == nil {
@@ -56,8 +56,8 @@
 	return responses
 }
 
-// response is the response of one engine or its rank agent. The reply is nil if there was none.
-type response struct {
+// rankResponse is the response of one engine or its rank agent. The reply is nil if there was none.
+type rankResponse struct {
 	reply *api.RankReply
 	// direct reports whether the engine was called from this VM, not by its rank agent.
 	direct bool
@@ -67,7 +67,7 @@
 
 // logAvailability logs when an engine stops answering and when it answers again. Only the
 // coordinator's goroutine may call it.
-func (c *Coordinator) logAvailability(e Engine, resp response, now time.Duration) {
+func (c *Coordinator) logAvailability(e Engine, resp rankResponse, now time.Duration) {
 	agent := c.agents[e.ID]
 	if agent == nil || resp.reply == nil && resp.err == nil || errors.Is(resp.err, context.Canceled) {
 		return
@@ -116,7 +116,7 @@
 //
 // Without the second case, a rolling replacement of rank agents would keep the whole group held
 // until the agent that is down is back, and then the next one.
-func (c *Coordinator) call(ctx context.Context, e Engine, request requestFunc, direct bool) response {
+func (c *Coordinator) call(ctx context.Context, e Engine, request requestFunc, direct bool) rankResponse {
 	if !direct {
 		resp := c.callThroughAgent(ctx, e, request(e, false))
 		if !isConnectionRefused(resp.err) {
@@ -128,19 +128,19 @@
 
 // callEngine sends the order of a request to the engine itself and reads its state. It reads no
 // counts or expert lists: reading them from another VM is expensive and stops the group.
-func (c *Coordinator) callEngine(ctx context.Context, e Engine, req *api.RankRequest) response {
+func (c *Coordinator) callEngine(ctx context.Context, e Engine, req *api.RankRequest) rankResponse {
 	reply := ranks.Execute(ctx, platform.NewEngine(e.Address, c.client), &api.RankRequest{Order: req.GetOrder()})
-	return response{reply: reply, direct: true, err: replyError(reply)}
+	return rankResponse{reply: reply, direct: true, err: replyError(reply)}
 }
 
 // callThroughAgent sends a request to the rank agent, except for orders to hold or to release a
 // hold, which go to the engine itself.
-func (c *Coordinator) callThroughAgent(ctx context.Context, e Engine, req *api.RankRequest) response {
+func (c *Coordinator) callThroughAgent(ctx context.Context, e Engine, req *api.RankRequest) rankResponse {
 	if isHoldOrRelease(req.GetOrder()) {
 		return c.sendHoldOrRelease(ctx, e, req.GetOrder())
 	}
 	reply, err := c.callAgent(ctx, e, req)
-	return response{reply: reply, err: err}
+	return rankResponse{reply: reply, err: err}
 }
 
 // isConnectionRefused reports whether nothing was sent because nothing listens at the address: the
@@ -173,15 +173,15 @@
 // Any VM may become unresponsive at any moment. If the rank agent forwarded the hold and its VM
 // then froze together with the engine, nobody could release the hold, and the whole group would
 // wait until that VM runs again. If the coordinator's VM freezes instead, another entry takes over.
-func (c *Coordinator) sendHoldOrRelease(ctx context.Context, e Engine, o *api.RankOrder) response {
+func (c *Coordinator) sendHoldOrRelease(ctx context.Context, e Engine, o *api.RankOrder) rankResponse {
 	orderResult, orderErr := ranks.SendOrder(ctx, platform.NewEngine(e.Address, c.client), o)
-	resp := response{}
+	resp := rankResponse{}
 	resp.reply, resp.err = c.callAgent(ctx, e, &api.RankRequest{})
 	if isConnectionRefused(resp.err) {
 		resp = c.callEngine(ctx, e, &api.RankRequest{})
 	}
 	if resp.err != nil {
-		return response{err: resp.err, direct: resp.direct}
+		return rankResponse{err: resp.err, direct: resp.direct}
 	}
 	resp.reply.Result, resp.err = orderResult, orderErr
 	return resp
--- a/internal/experts/coordinator.go
+++ b/internal/experts/coordinator.go
@@ -20,9 +20,9 @@
 
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/coord/mapswitch"
-	"github.com/apricothub/apricothub/internal/bounded"
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/ranks"
+	"github.com/apricothub/apricothub/internal/response"
 	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/internal/routing"
 	"github.com/apricothub/apricothub/platform"
@@ -127,7 +127,7 @@
 func New(vm string, peerPort int, cluster ClusterView, store *platform.Store, logger log.Logger) *Coordinator {
 	return &Coordinator{
 		vm: vm, peerPort: peerPort, cluster: cluster, store: store, logger: logger,
-		client: &http.Client{Transport: bounded.Transport(&http.Transport{
+		client: &http.Client{Transport: response.Transport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
 			MaxIdleConnsPerHost: 2,
 			IdleConnTimeout:     10 * time.Second,
--- a/internal/experts/group.go
+++ b/internal/experts/group.go
@@ -322,7 +322,7 @@
 
 // noteMissingMaps records the ranks that must be sent the target whole. Rank agents of an earlier
 // version know no changes, and the engine refuses the order without a map that they pass on.
-func (g *group) noteMissingMaps(members []*member, byRank map[int]mapswitch.Order, responses []response) {
+func (g *group) noteMissingMaps(members []*member, byRank map[int]mapswitch.Order, responses []rankResponse) {
 	for rank, o := range byRank {
 		reply := responses[rank].reply
 		if reply.GetNeedsMap() || o.Kind == mapswitch.Prepare && reply.GetResult() == api.OrderResult_ORDER_UNFIT {
@@ -333,7 +333,7 @@
 
 // logOrders logs one line for all equal orders that ranks accepted, which are many, and one line
 // for each order that was not accepted.
-func (g *group) logOrders(byRank map[int]mapswitch.Order, responses []response) {
+func (g *group) logOrders(byRank map[int]mapswitch.Order, responses []rankResponse) {
 	accepted := make(map[mapswitch.Order]int)
 	lackMap := 0
 	for rank, o := range byRank {
@@ -362,7 +362,7 @@
 }
 
 // applyResponse updates the rank's state with the response to an order.
-func (m *member) applyResponse(o mapswitch.Order, resp response) {
+func (m *member) applyResponse(o mapswitch.Order, resp rankResponse) {
 	if resp.reply.GetState() != nil {
 		m.reply.State = resp.reply.GetState()
 		m.stale = resp.direct
--- a/internal/experts/group_test.go
+++ b/internal/experts/group_test.go
@@ -97,7 +97,7 @@
 		coordinator := newUnclaimedGroup().c
 		for _, p := range c.polls {
 			var engines []Engine
-			responses := make([]response, groupSize)
+			responses := make([]rankResponse, groupSize)
 			for rank, m := range newTestMembers(p.open, 0, nil) {
 				engines = append(engines, m.engine)
 				if rank < p.answering {
--- a/internal/experts/impairments.go
+++ b/internal/experts/impairments.go
@@ -30,7 +30,7 @@
 // that rank. After a power loss engines answer one after the other, and a busy coordinator may hear none
 // in time. Those not heard would otherwise look like the only open ones: entries would size their queues
 // by these few and refuse the rest, or send what is queued to engines that refuse it.
-func (c *Coordinator) impairmentsOf(engines []Engine, responses []response) map[string]Impairment {
+func (c *Coordinator) impairmentsOf(engines []Engine, responses []rankResponse) map[string]Impairment {
 	impairments := make(map[string]Impairment)
 	reports := newGroupReports()
 	groupOf := make(map[string]string, len(engines))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/apricothub/apricothub/internal/experts"
 	"github.com/apricothub/apricothub/internal/logging"
 	"github.com/apricothub/apricothub/internal/resources"
+	"github.com/apricothub/apricothub/internal/response"
 	"github.com/apricothub/apricothub/internal/sockets"
 	"github.com/apricothub/apricothub/internal/upstream"
 	"github.com/apricothub/apricothub/platform"
@@ -96,7 +97,7 @@
 
 func newGateway(s *platform.Settings, logger log.Logger) *Gateway {
 	timing := newStoreTiming(s.Bounds)
-	transport := bounded.Transport(&http.Transport{
+	transport := response.Transport(&http.Transport{
 		DialContext:           sockets.NewDialer(storeTimeout).DialContext,
 		MaxIdleConnsPerHost:   4,
 		IdleConnTimeout:       10 * time.Second,
@@ -118,7 +119,7 @@
 		prompts: newPromptGuard(s.IP),
 		listen:  sockets.NewListenConfig(),
 		metrics: counters,
-		peerClient: &http.Client{Transport: bounded.Transport(&http.Transport{
+		peerClient: &http.Client{Transport: response.Transport(&http.Transport{
 			DialContext:       (&net.Dialer{Timeout: connectTimeout}).DialContext,
 			DisableKeepAlives: true,
 		})},
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,6 +16,7 @@
 
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/internal/bounded"
+	"github.com/apricothub/apricothub/internal/response"
 )
 
 // maxResponseBytes limits the size of one response.
@@ -50,7 +51,7 @@
 // New returns a client of the platform at a base URL. Each request may take up to timeout, in
 // addition to the time that it asks the platform to wait.
 func New(baseURL string, timeout time.Duration) *Client {
-	transport := bounded.Transport(&http.Transport{
+	transport := response.Transport(&http.Transport{
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     30 * time.Second,
 	})
@@ -126,15 +127,15 @@
 	return decodeResponse(resp.status, resp.body, response)
 }
 
-// response is a response of the platform.
-type response struct {
+// storeResponse is a response of the platform.
+type storeResponse struct {
 	status int
 	body   []byte
 	etag   string // of the content, empty if the platform sends none
 }
 
 // do sends one request. With an etag, it asks for the content only if it has changed.
-func (c *Client) do(ctx context.Context, method, path string, body []byte, wait time.Duration, etag string) (*response, error) {
+func (c *Client) do(ctx context.Context, method, path string, body []byte, wait time.Duration, etag string) (*storeResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
 	defer cancel()
 	// With a body that is not a *bytes.Reader the request has no GetBody, so net/http cannot resend
@@ -162,7 +163,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &response{status: resp.StatusCode, body: data, etag: resp.Header.Get("ETag")}, nil
+	return &storeResponse{status: resp.StatusCode, body: data, etag: resp.Header.Get("ETag")}, nil
 }
 
 func decodeResponse(status int, data []byte, into any) error {
--- a/internal/rankagent/rankagent.go
+++ b/internal/rankagent/rankagent.go
@@ -25,6 +25,7 @@
 	"github.com/apricothub/apricothub/internal/httpguard"
 	"github.com/apricothub/apricothub/internal/ranks"
 	"github.com/apricothub/apricothub/internal/resources"
+	"github.com/apricothub/apricothub/internal/response"
 	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/internal/sockets"
 	"github.com/apricothub/apricothub/internal/textmetrics"
@@ -55,7 +56,7 @@
 	if s.Engine == "" {
 		return errors.New("the settings name no engine on this VM")
 	}
-	a := newAgent(platform.NewEngine(s.Engine, &http.Client{Transport: bounded.Transport(&http.Transport{MaxIdleConnsPerHost: 2})}), logger)
+	a := newAgent(platform.NewEngine(s.Engine, &http.Client{Transport: response.Transport(&http.Transport{MaxIdleConnsPerHost: 2})}), logger)
 	lc := sockets.NewListenConfig()
 	listener, err := lc.Listen(ctx, "tcp", net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)))
 	if err != nil {
--- /dev/null
+++ b/internal/response/transport_test.go
@@ -0,0 +1,116 @@
+package response
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricothub/apricothub/internal/bounded"
+	"github.com/apricothub/apricothub/test/malformed"
+)
+
+// serveText answers each request with a text, and returns the server's URL.
+func serveText(t *testing.T, text string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				br := bufio.NewReader(conn)
+				for {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					if _, err := io.WriteString(conn, text); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// read reads a whole response over a transport.
+func read(t *testing.T, transport http.RoundTripper, method, url string) (string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := bounded.ReadAll(resp.Body, 1<<20, "the body")
+	return string(body), err
+}
+
+// Guards against a transport that is more lenient than RFC 9112, as that of net/http is.
+func TestTransportRefusesMalformedResponses(t *testing.T) {
+	for _, m := range malformed.Responses() {
+		t.Run(m.Name, func(t *testing.T) {
+			t.Parallel()
+			transport := Transport(&http.Transport{})
+			defer transport.CloseIdleConnections()
+			if body, err := read(t, transport, http.MethodGet, serveText(t, m.Text("r1"))); err == nil {
+				t.Errorf("read as %q", body)
+			}
+		})
+	}
+}
+
+// Guards against a caller of a transport that cannot tell a malformed response from a broken connection.
+func TestTransportTellsMalformedResponses(t *testing.T) {
+	_, err := read(t, Transport(&http.Transport{DisableKeepAlives: true}), http.MethodGet, serveText(t, "HTTP/1.1 200 OK\r\nX Spoiled: 1\r\n\r\n"))
+	var syntax *SyntaxError
+	if !errors.As(err, &syntax) {
+		t.Errorf("error %v, want a SyntaxError", err)
+	}
+}
+
+// Guards against a transport that refuses sound responses: over kept connections, to HEAD requests and over TLS.
+func TestTransportReadsSoundResponses(t *testing.T) {
+	url := serveText(t, malformed.Sound("r1"))
+	kept := Transport(&http.Transport{})
+	defer kept.CloseIdleConnections()
+	for range 3 {
+		if body, err := read(t, kept, http.MethodGet, url); err != nil || body == "" {
+			t.Errorf("kept connection: %q, %v", body, err)
+		}
+	}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "2")
+		_, _ = io.WriteString(w, "ok")
+	})
+	plain, encrypted := httptest.NewServer(handler), httptest.NewTLSServer(handler)
+	defer plain.Close()
+	defer encrypted.Close()
+	config := encrypted.Client().Transport.(*http.Transport).TLSClientConfig
+	single := Transport(&http.Transport{DisableKeepAlives: true, TLSClientConfig: config})
+	for _, url := range []string{plain.URL, encrypted.URL} {
+		for method, want := range map[string]string{http.MethodGet: "ok", http.MethodHead: ""} {
+			if body, err := read(t, single, method, url); err != nil || body != want {
+				t.Errorf("%s %s: %q, %v", method, url, body, err)
+			}
+		}
+	}
+	if _, err := read(t, Transport(&http.Transport{DisableKeepAlives: true}), http.MethodGet, encrypted.URL); err == nil {
+		t.Error("a certificate that nobody vouches for was accepted")
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -45,9 +45,9 @@
 	net.Conn
 	pool   *Pool
 	server string
-	// in limits what is read, br reads from it.
+	// in limits what is read, responses reads from it.
 	in        *bounded.Reader
-	br        *bufio.Reader
+	responses *response.Reader
 	idleSince time.Duration
 	// isReused means that the connection has carried another request before.
 	isReused bool
@@ -61,7 +61,7 @@
 // RoundTrip writes a request once and reads the header of its response. matches reports whether a
 // response belongs to this request. Others are skipped, since a faulty backend server may respond
 // twice. When ctx ends, the connection is reset. The caller reads the body and calls Release. The error
-// is a *response.InvalidStatusError if the status is not one of HTTP.
+// is one of response.Reader.Next if the server sent no response.
 //
 // After an error, the request may still have been executed.
 func (c *Conn) RoundTrip(ctx context.Context, req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
@@ -116,16 +116,10 @@
 	}
 	for range maxUnmatchedResponses {
 		c.in.Allow(bounded.MaxHeaderBytes, answerHeader)
-		resp, err := http.ReadResponse(c.br, req)
+		resp, err := c.responses.Next(req)
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
-		if response.IsInterim(resp.StatusCode) {
-			continue
-		}
-		if err := response.CheckStatus(resp.StatusCode); err != nil {
-			return nil, err
-		}
 		if matches(resp) {
 			c.in.Allow(MaxResponseBytes, AnswerBody)
 			return resp, nil
@@ -157,7 +151,7 @@
 // was written and the response was read completely, and the backend server keeps it open too. A
 // zero idleTimeout means that the backend server did not state one.
 func (c *Conn) Release(resp *http.Response, complete bool, idleTimeout time.Duration, now time.Duration) {
-	if resp == nil || !complete || resp.Close || c.br.Buffered() > 0 || !c.isRequestWritten() {
+	if resp == nil || !complete || resp.Close || !c.responses.IsBetweenResponses() || !c.isRequestWritten() {
 		c.discard()
 		return
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,7 +6,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"sync"
 	"time"
@@ -15,6 +14,7 @@
 
 	"github.com/apricothub/apricothub/internal/bounded"
 	"github.com/apricothub/apricothub/internal/clock"
+	"github.com/apricothub/apricothub/internal/response"
 	"github.com/apricothub/apricothub/internal/sockets"
 )
 
@@ -65,7 +65,7 @@
 		return nil, errors.Wrap(err, "connect")
 	}
 	in := bounded.NewReader(conn, 0, answerHeader)
-	return &Conn{Conn: conn, pool: p, server: server, in: in, br: bufio.NewReader(in)}, nil
+	return &Conn{Conn: conn, pool: p, server: server, in: in, responses: response.NewReader(in)}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, so that unneeded ones reach
