Answer or refuse what cannot end in a gateway's planned stop

What callers saw: requests that came late in the grace period of a planned stop were passed on and cut without an answer at its end, also those that may run once. After the listener was closed, a request on an open connection could be closed without an answer, though it was never sent on.

Cause: a stop had one time and requests had another, and nothing compared the two: on arrival, after a wait for a slot, before a retry or a move. At the end connections were closed instead of requests ended, and http.Server.Shutdown closes a connection whose request it has just read.

Change: decide/drain decides whether a request begins work during a stop: if its own limit lies before the end, or if requests of its service have usually taken less than is left (mean and four deviations, as TCP estimates its timeout). It is asked on arrival, before each attempt and before a move. internal/shutdown counts the requests, serves open connections while any is in flight, and cancels what is left 500 ms before the end of the grace period: not sent is refused as not run, sent is answered 502 with an unknown outcome, a stream is broken off. There are 300 ms to write that. A refusal says DRAINING with a Retry-After of 50 ms, since other entries serve the request.

Why it works: every request has a limit that lies before the end of the process, so that its handler answers it. What begins usually ends; what does not has an answer that is true.

A service of which nothing was served yet takes late requests, as before: nothing shows that it is slow, and the end answers them.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -23,6 +23,7 @@
 	"github.com/apricothub/apricothub/decide/urgency"
 	"github.com/apricothub/apricothub/internal/experts"
 	"github.com/apricothub/apricothub/internal/routing"
+	"github.com/apricothub/apricothub/internal/shutdown"
 )
 
 const (
@@ -70,6 +71,8 @@
 	rateLimits     *throttle.Limits
 	resting        *rest.Tracker
 	pausedServices map[string]pausedService
+	// shutdown follows the requests of callers.
+	shutdown *shutdown.Shutdown
 	// newlyLeaving are the servers to be returned by takeNewlyLeaving.
 	newlyLeaving []registry.Start
 	// entries is the number of live entries, maybeLive that of entries that may still be running.
@@ -174,6 +177,7 @@
 		retries:          newRetryBudgets(l.retry),
 		rateLimits:       throttle.New(self, rng),
 		resting:          rest.New(),
+		shutdown:         shutdown.New(),
 		entries:          1,
 		maybeLive:        1,
 		admitter:         admit.New(admit.Config{MaxQueue: maxQueued, MaxWait: maxQueueWait, MaxRetryAfter: maxRetryAfter, BacklogStartsTogether: true}),
@@ -224,7 +228,9 @@
 			delete(f.firstEventDelays, service)
 		}
 	}
-	f.retries.retain(func(service string) bool { return cfg.Service(service) != nil })
+	isKnown := func(service string) bool { return cfg.Service(service) != nil }
+	f.retries.retain(isKnown)
+	f.shutdown.Retain(isKnown)
 	old := f.servers
 	f.noteRemovals(registrations, now)
 	f.servers = make(map[string]*server, len(registrations))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/apricothub/apricothub/internal/logging"
 	"github.com/apricothub/apricothub/internal/resources"
 	"github.com/apricothub/apricothub/internal/response"
+	"github.com/apricothub/apricothub/internal/shutdown"
 	"github.com/apricothub/apricothub/internal/sockets"
 	"github.com/apricothub/apricothub/internal/upstream"
 	"github.com/apricothub/apricothub/platform"
@@ -68,6 +69,8 @@
 
 	view    atomic.Pointer[view]
 	leaving atomic.Bool
+	// shutdown follows the requests of callers.
+	shutdown *shutdown.Shutdown
 	// readsStore means that this entry reads the store, for itself or also for others. isStoreReader means
 	// that it is one of those that read it for all.
 	readsStore, isStoreReader atomic.Bool
@@ -138,6 +141,7 @@
 		started:           make(chan struct{}),
 		stopped:           make(chan struct{}),
 	}
+	g.shutdown = g.fleet.shutdown
 	g.fleet.ejections, g.fleet.limitsStated, g.fleet.restsAsked = counters.ejected, counters.limited, counters.rested
 	g.fleet.divisions = counters.divisions
 	g.fleet.logger = logging.Part(logger, "servers")
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -34,9 +34,9 @@
 	// rank is the request's place in the order of urgency; 0 is the most urgent.
 	rank      int
 	arrivedAt time.Duration
-	// deadline is when this entry gives up, the earlier of the caller's deadline and the route's
-	// timeout; zero for never.
-	deadline time.Duration
+	// limit is the earlier of the caller's deadline and the route's timeout. deadline is when this entry gives up: at
+	// the limit, or earlier during a planned stop.
+	limit, deadline time.Duration
 	// callerDeadline is when the caller gives up; zero if the request does not state it.
 	callerDeadline time.Duration
 
@@ -140,6 +140,8 @@
 	if t.deadline == 0 {
 		t.deadline = t.arrivedAt + maxRequestTime
 	}
+	t.limit = t.deadline
+	g.limitByStop(t)
 	if err := g.readBody(t, r, v.table.Limits.BodyBytes); err != nil {
 		return err
 	}
@@ -173,6 +175,10 @@
 		return
 	}
 	defer g.prompts.release(t)
+	if err := g.refuseByStop(t); err != nil {
+		g.giveUp(ctx, t, err)
+		return
+	}
 	g.fleet.retries.countRequest(t.service, clock.Now())
 	id, s, err := g.fleet.admitRequest(ctx, t, clock.Now())
 	if err != nil {
@@ -185,10 +191,14 @@
 	took := time.Duration(0)
 	defer func() { g.fleet.endRequest(id, t.service, took, clock.Now()) }()
 	for {
-		if d := g.prompts.acquire(t, clock.Now()); d.Action != quarantine.Send {
+		err := g.refuseByStop(t)
+		if d := g.prompts.acquire(t, clock.Now()); err == nil && d.Action != quarantine.Send {
+			err = refusedPrompt(d)
+		}
+		if err != nil {
 			g.fleet.endAttempt(s.ID, outcomeUnknown, 0, clock.Now())
 			g.returnRetryToken(t)
-			g.giveUp(ctx, t, refusedPrompt(d))
+			g.giveUp(ctx, t, err)
 			return
 		}
 		t.tried = append(t.tried, s.ID)
@@ -257,10 +267,12 @@
 	}
 }
 
-// endExpired ends a request whose deadline has passed or whose caller has gone.
+// endExpired ends a request whose deadline has passed, whose caller has gone, or that has not ended during a planned
+// stop.
 func (g *Gateway) endExpired(ctx context.Context, t *task) {
+	isStopOver := g.shutdown.IsOver()
 	switch {
-	case ctx.Err() != context.DeadlineExceeded:
+	case ctx.Err() != context.DeadlineExceeded && !isStopOver:
 		g.metrics.callersGone.Inc(1)
 		g.logCallerGone(t)
 		panic(http.ErrAbortHandler)
@@ -269,8 +281,12 @@
 	case t.out.fallback != nil:
 		t.out.deliverFallback()
 		g.served(t, t.out.fallback.server)
+	case t.history.sent == 0 && isStopOver:
+		g.refuse(t, result.Refuse(api.ResultCode_DRAINING, stopRetryAfter))
 	case t.history.sent == 0:
 		g.refuse(t, result.New(api.ResultCode_DEADLINE_UNREACHABLE))
+	case isStopOver:
+		g.refuse(t, result.New(api.ResultCode_OUTCOME_UNKNOWN))
 	default:
 		g.refuse(t, result.New(api.ResultCode_DEADLINE_EXCEEDED))
 	}
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -39,7 +39,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.moveCause(id, t, p, events, now)
-	if m == nil {
+	if m == nil || m.cause != errSilentVM && !f.shutdown.MayStart(t.service, t.limit) {
+		// During a planned stop, a request that begins anew too late has no answer, and one that stays may have one.
 		return nil
 	}
 	token, ok := f.retries.spend(t.service, now)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -4,18 +4,16 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/go-kit/log/level"
 
-	"github.com/apricothub/apricothub/api"
-	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/httpguard"
-	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/platform"
 )
 
+// callersName names the endpoint for callers.
+const callersName = "callers"
+
 func (g *Gateway) endpoints() []endpoint {
 	handle := func(path string, f http.HandlerFunc) http.Handler {
 		mux := http.NewServeMux()
@@ -27,7 +25,7 @@
 	admin.HandleFunc("GET /debug/state", g.serveDump)
 	control := httpguard.ControlLimits
 	all := []endpoint{
-		{"callers", g.settings.Listen.Callers, g, clientBounds{callersMemory, callersSockets, callerRequestBytes, callerWriteTime, g.callerLimits}},
+		{callersName, g.settings.Listen.Callers, g, clientBounds{callersMemory, callersSockets, callerRequestBytes, callerWriteTime, g.callerLimits}},
 		{
 			"readiness", g.settings.Listen.Readiness, handle(platform.PathReady, g.serveReady),
 			clientBounds{readinessMemory, readinessSockets, shortAnswerBytes, writeTime, control},
@@ -74,7 +72,11 @@
 			return nil, errors.Wrapf(err, "listen for %s", e.name)
 		}
 		guard := g.newGuard(e.name, e.bounds)
-		opened = append(opened, openEndpoint{guard.NewServer(e.handler), e.name, guard.Listener(listener)})
+		server := guard.NewServer(e.handler)
+		if e.name == callersName {
+			g.shutdown.Follow(server)
+		}
+		opened = append(opened, openEndpoint{server, e.name, guard.Listener(listener)})
 	}
 	return opened, nil
 }
@@ -104,37 +106,5 @@
 	case <-ctx.Done():
 	case <-parts.Done():
 	}
-	return g.stop(endpoints[0].Server)
-}
-
-const (
-	// leaveDelay is how long a stopping entry still accepts requests: callers keep an answer on
-	// where to connect for addressTTL, and ask again when they need a connection.
-	leaveDelay = 2500 * time.Millisecond
-	// stopMargin is the rest of the grace period, in which the process ends by itself.
-	stopMargin = 500 * time.Millisecond
-	// defaultGrace is the grace period if the settings give none.
-	defaultGrace = 8 * time.Second
-)
-
-// stop shuts down gracefully: the entry first leaves the list of addresses, goes on serving while
-// callers still arrive, and then drains the requests in flight.
-func (g *Gateway) stop(callers *http.Server) error {
-	began := clock.Now()
-	grace := g.settings.Bounds.TerminationGrace
-	if grace <= 0 {
-		grace = defaultGrace
-	}
-	leave := g.leave
-	g.leaving.Store(true)
-	close(leave)
-	_ = level.Info(g.logger).Log("msg", "The process leaves.", "grace_ms", grace.Milliseconds())
-	time.Sleep(min(leaveDelay, grace/3))
-	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin-(clock.Now()-began))
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		_ = level.Warn(g.logger).Log("msg", "Requests were still in flight at the end of the grace period and are cut off.", "err", err,
-			"result", result.Label(api.ResultCode_ANSWER_BROKEN))
-	}
-	return nil
+	return g.stop(endpoints[0])
 }
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -296,5 +296,8 @@
 	defer f.mu.Unlock()
 	f.running[service] = max(f.running[service]-1, 0)
 	f.admitter.Done(now, uint64(id), took)
+	if took > 0 {
+		f.shutdown.Record(service, took)
+	}
 	f.updateCapacity(now)
 }
