Answer or refuse what cannot end in an entry's planned stop

An entry took requests while callers may keep its address, whatever their deadlines, cut what was left after drain-ms, and closed a request on an open connection without an answer once it had closed its listener.

Change: internal/shutdown follows the entry's requests. A request begins work, on arrival and after a wait at the gate, only if it can be expected to end in time. At the end an agent is not told to cancel: a caller with a ticket or a key of its own comes back for the answer through another entry. The memory of usual times has a bound, since versions in offers come from callers.

--- a/decide/drain/drain.go
+++ b/decide/drain/drain.go
@@ -13,6 +13,8 @@
 const (
 	// meanWeight and deviationWeight are the weights of a new time in the moving averages of a kind.
 	meanWeight, deviationWeight = 1.0 / 8, 1.0 / 4
+	// maxKinds limits the kinds of requests that are known.
+	maxKinds = 4096
 	// deviations is how many mean deviations beyond the mean a request may take that still counts as usual.
 	deviations = 4
 )
@@ -35,6 +37,9 @@
 func (t *Tracker) Record(kind string, took time.Duration) {
 	e, ok := t.kinds[kind]
 	if !ok {
+		if len(t.kinds) == maxKinds {
+			clear(t.kinds)
+		}
 		t.kinds[kind] = estimate{mean: took, deviation: took / 2}
 		return
 	}
@@ -43,15 +48,6 @@
 	t.kinds[kind] = e
 }
 
-// Retain forgets the kinds for which isKnown returns false.
-func (t *Tracker) Retain(isKnown func(kind string) bool) {
-	for kind := range t.kinds {
-		if !isKnown(kind) {
-			delete(t.kinds, kind)
-		}
-	}
-}
-
 // Begin begins the stop. All requests must have ended at end.
 func (t *Tracker) Begin(end time.Duration) { t.end = end }
 
--- a/decide/drain/drain_test.go
+++ b/decide/drain/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -39,9 +40,16 @@
 			t.Errorf("%s: %v", c.name, got)
 		}
 	}
-	tracker.Retain(func(kind string) bool { return kind == "quick" })
-	if tracker.MayStart("quick", 0, 99900*msec) || !tracker.MayStart("slow", 0, 98*sec) {
-		t.Error("the wrong kinds were forgotten")
+}
+
+// Guards against a memory of kinds that grows with each name that a request can have.
+func TestKindsAreBounded(t *testing.T) {
+	tracker := New()
+	for n := range 3 * maxKinds {
+		tracker.Record(strconv.Itoa(n), sec)
+	}
+	if len(tracker.kinds) > maxKinds {
+		t.Errorf("%d kinds are held", len(tracker.kinds))
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/apricothub/apricothub/internal/platform"
 	"github.com/apricothub/apricothub/internal/resources"
 	"github.com/apricothub/apricothub/internal/result"
+	"github.com/apricothub/apricothub/internal/shutdown"
 	"github.com/apricothub/apricothub/internal/sockets"
 	"github.com/apricothub/apricothub/internal/version"
 )
@@ -46,7 +47,9 @@
 	journal      *journal.Journal
 	guessLimiter *guessLimiter
 	links        *linkChooser
-	logger       log.Logger
+	// shutdown follows the requests of callers.
+	shutdown *shutdown.Shutdown
+	logger   log.Logger
 
 	// pendingDone counts the complete answers whose agent has yet to be told that they were
 	// delivered.
@@ -92,6 +95,7 @@
 	links := newLinksGuard(available, logger, e.registry)
 	callers := e.newCallersGuard(available)
 	server := callers.NewServer(e.handler())
+	e.shutdown.Follow(server)
 	workCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group run.Group
@@ -99,8 +103,9 @@
 	group.Add(func() error { return e.serveAdmin(workCtx) }, func(error) { stop() })
 	group.Add(func() error { return e.keys.readLoop(workCtx) }, func(error) { stop() })
 	group.Add(func() error { return e.keys.appendLoop(workCtx) }, func(error) { stop() })
-	group.Add(func() error { return e.servePublic(workCtx, server, callers.Listener(publicListener)) }, func(error) { stop() })
-	group.Add(func() error { return e.drainOnStop(ctx, workCtx, server) }, func(error) { stop() })
+	guarded := callers.Listener(publicListener)
+	group.Add(func() error { return e.servePublic(workCtx, server, guarded) }, func(error) { stop() })
+	group.Add(func() error { return e.drainOnStop(ctx, workCtx, server, guarded) }, func(error) { stop() })
 	_ = logger.Log("msg", "The entry has started.", "incarnation", e.self.GetIncarnation())
 	err = group.Run()
 	if errors.Is(err, context.Canceled) {
@@ -135,6 +140,7 @@
 		registry:     registry,
 		journal:      journal.New(journalRequests),
 		guessLimiter: newGuessLimiter(),
+		shutdown:     shutdown.New(),
 		logger:       logger,
 	}
 	e.links = newLinkChooser(e.self, int(settings.GetLink().GetAgentsPerOffer()), registry)
@@ -234,16 +240,19 @@
 
 func (e *entry) servePublic(workCtx context.Context, server *http.Server, ln net.Listener) error {
 	err := server.Serve(ln)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		<-workCtx.Done()
 		return workCtx.Err()
 	}
 	return err
 }
 
+// answerMargin is how long requests that have not ended in time have to answer.
+const answerMargin = 300 * time.Millisecond
+
 // drainOnStop waits for the shutdown signal, then until callers have dropped the old list of
 // addresses, then for the last request.
-func (e *entry) drainOnStop(ctx, workCtx context.Context, server *http.Server) error {
+func (e *entry) drainOnStop(ctx, workCtx context.Context, server *http.Server, listener net.Listener) error {
 	select {
 	case <-ctx.Done():
 	case <-workCtx.Done():
@@ -255,10 +264,10 @@
 	// Callers keep the addresses for address-keep-ms, and other entries learn of the shutdown a
 	// heartbeat later.
 	addressKeepMs := policy.GetAddressKeepMs() + 2*e.settings.GetLink().GetHeartbeatMs()
+	end := clock.Now() + time.Duration(addressKeepMs+policy.GetDrainMs())*time.Millisecond
+	e.shutdown.Begin(end)
 	sleep(workCtx, time.Duration(addressKeepMs)*time.Millisecond)
-	drainCtx, cancel := context.WithTimeout(workCtx, time.Duration(policy.GetDrainMs())*time.Millisecond)
-	defer cancel()
-	if err := server.Shutdown(drainCtx); err != nil {
+	if err := e.shutdown.Drain(server, listener, end+answerMargin); err != nil {
 		_ = e.logger.Log("msg", "The entry stops with requests in flight.", "result", result.Label(api.ResultCode_ANSWER_BROKEN), "err", err)
 	} else {
 		// An agent that is not told of the delivery keeps the answer for its caller to come back,
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -274,6 +274,12 @@
 
 // sendRequest sends a completion, or a call of the service s.
 func sendRequest(t *testing.T, url, path string, headers ...string) reply {
+	t.Helper()
+	return sendOver(t, http.DefaultClient, url, path, headers...)
+}
+
+// sendOver is sendRequest with a client.
+func sendOver(t *testing.T, client *http.Client, url, path string, headers ...string) reply {
 	t.Helper()
 	r, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader(`{"model":"m","prompt":"p","max_tokens":5}`))
 	if err != nil {
@@ -284,7 +290,7 @@
 	for i := 0; i < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := client.Do(r)
 	if err != nil {
 		return reply{cut: true}
 	}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -16,6 +16,7 @@
 	"github.com/apricothub/apricothub/internal/member"
 	"github.com/apricothub/apricothub/internal/response"
 	"github.com/apricothub/apricothub/internal/result"
+	"github.com/apricothub/apricothub/internal/shutdown"
 )
 
 // errLinkBroken is returned when a stream ends before the answer does.
@@ -86,7 +87,10 @@
 
 // interruptedError says why a request in flight ended early.
 func (r *answerRelay) interruptedError(ctx context.Context) *result.Error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(context.Cause(ctx), shutdown.ErrOver):
+		return result.New(api.ResultCode_ANSWER_BROKEN, "The entry has stopped before the answer was whole.")
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return result.New(api.ResultCode_DEADLINE_EXCEEDED)
 	}
 	return result.New(api.ResultCode_ANSWER_BROKEN, "The caller has gone.")
@@ -176,9 +180,11 @@
 
 // interrupt ends the stream of a caller that is gone or of a request past its deadline. The work is
 // canceled only if the caller cannot come back for the answer: with part of a stream it may resume
-// with Last-Event-ID, and the agent keeps the answer for a while.
+// with Last-Event-ID, and the agent keeps the answer for a while. A caller of an entry that stops may
+// come back with its ticket or key.
 func (r *answerRelay) interrupt(ctx context.Context, stream *link.Stream) {
-	if errors.Is(ctx.Err(), context.Canceled) && !r.out.hasBegun() {
+	isStopped := errors.Is(context.Cause(ctx), shutdown.ErrOver)
+	if errors.Is(ctx.Err(), context.Canceled) && !isStopped && !r.out.hasBegun() {
 		_ = stream.SetDeadline(time.Now().Add(time.Second))
 		_ = stream.Send(&api.WorkSignal{Cancel: true})
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -152,6 +152,9 @@
 	if !e.directory.hasCapacity(req.offer) || e.directory.agentDraining(req.callerTicket) {
 		return out.finish(e.dispatchWithoutGate(ctx, req, out))
 	}
+	if refused := e.refuseByStop(req); refused != nil {
+		return out.finish(e.settleRefusal(ctx, req, refused, out))
+	}
 	waitCtx, endWait := e.directory.withAgentDraining(ctx, req.callerTicket)
 	adm, refused := e.gate.admit(waitCtx, admit.Request{
 		Customer: req.caller.name,
@@ -176,6 +179,9 @@
 	started, took := clock.Now(), time.Duration(0)
 	// A panic must not leave the slot taken for good.
 	defer func() { adm.done(took) }()
+	if refused := e.refuseByStop(req); refused != nil {
+		return e.settleRefusal(ctx, req, refused, out)
+	}
 	if err := e.bindKey(ctx, req); err != nil {
 		return err
 	}
@@ -183,9 +189,22 @@
 		return err
 	}
 	took = clock.Now() - started
+	e.shutdown.Record(req.offer, took)
 	return nil
 }
 
+// stopRetryAfter is when a caller that a stopping entry has refused may come back: at once, since it goes to another
+// entry.
+const stopRetryAfter = 50 * time.Millisecond
+
+// refuseByStop returns an error if a request must not begin work any more, since it would not end before the process.
+func (e *entry) refuseByStop(req *request) *result.Error {
+	if e.shutdown.MayStart(req.offer, req.deadline) {
+		return nil
+	}
+	return result.Refuse(api.ResultCode_DRAINING, stopRetryAfter)
+}
+
 // dispatchWithoutGate handles a request that the gate must not queue. If no backend server is known
 // for the offer there is no capacity to share, and the gate would keep the offer's name, which the
 // caller may have made up. Such a request can only be sent with a ticket, to the agent that it
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -228,9 +228,7 @@
 			delete(f.firstEventDelays, service)
 		}
 	}
-	isKnown := func(service string) bool { return cfg.Service(service) != nil }
-	f.retries.retain(isKnown)
-	f.shutdown.Retain(isKnown)
+	f.retries.retain(func(service string) bool { return cfg.Service(service) != nil })
 	old := f.servers
 	f.noteRemovals(registrations, now)
 	f.servers = make(map[string]*server, len(registrations))
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -83,13 +83,6 @@
 	s.tracker.Record(kind, took)
 }
 
-// Retain forgets the kinds for which isKnown returns false.
-func (s *Shutdown) Retain(isKnown func(kind string) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.tracker.Retain(isKnown)
-}
-
 // MayStart reports whether a request of a kind may start work now, given its own limit; zero for none.
 func (s *Shutdown) MayStart(kind string, limit time.Duration) bool {
 	if s.End() == 0 {
