Let repeated SIGTERMs change nothing at entries and agents

What callers saw: a second SIGTERM during the planned stop of an entry or an agent cut all streams in flight.

Cause: the first signal removed the handler for both signals, so that an operator at a terminal could end the process. Gateways and rank agents already kept SIGTERM for the whole stop; these two did not.

Evidence: TestRepeatedStopSignalsAtEntriesAndAgents failed before (streams cut at the entry and at the agent, exit by the signal); 400 whole, none refused, exit status 0 now.

Change: SIGTERM stays received until the process ends. SIGINT ends it at the second time, as before.

--- a/internal/command/daemon/daemon.go
+++ b/internal/command/daemon/daemon.go
@@ -22,9 +22,11 @@
 	"github.com/apricothub/apricothub/internal/settings"
 )
 
-const signalsHelp = "\n  Signals:\n" +
-	"    SIGTERM, SIGINT   Stop gracefully: no request is cut. A second one stops at once.\n" +
-	"    SIGHUP            Read the settings that may change while the process runs.\n"
+const signalsHelp = "\n  Signals:\n" + stopSignalsHelp +
+	"    SIGHUP    Read the settings that may change while the process runs.\n"
+
+const stopSignalsHelp = "    SIGTERM   Stop gracefully: no request is cut. Further ones change nothing.\n" +
+	"    SIGINT    The same; a second one stops at once.\n"
 
 // Entry returns the command that runs an entry.
 func Entry(serve func(context.Context, *api.EntrySettings, log.Logger) error) *cli.Command {
@@ -57,6 +59,8 @@
 		if path == "" {
 			return cli.UsageErrorf("Name the settings file: -c FILE.")
 		}
+		terminate, stopTerminate := receive(syscall.SIGTERM)
+		defer stopTerminate()
 		hangup, stopHangup := receive(syscall.SIGHUP)
 		defer stopHangup()
 		loaded, err := load(path)
@@ -76,17 +80,17 @@
 		)
 		resources.Of(0, 0).LimitHeap()
 		return runUntilSignal(ctx, func(ctx context.Context) error { return serve(ctx, loaded, logger) },
-			func(ctx context.Context) error { return r.reloadOnSIGHUP(ctx, hangup) })
+			func(ctx context.Context) error { return r.reloadOnSIGHUP(ctx, hangup) },
+			func(ctx context.Context) error { return awaitSignal(ctx, terminate) })
 	}}
 }
 
-// runUntilSignal runs tasks until one of them ends or the first signal to stop, and returns after a
-// graceful shutdown.
+// runUntilSignal runs tasks until one of them ends or the first SIGINT, and returns after a graceful shutdown.
 func runUntilSignal(ctx context.Context, tasks ...func(context.Context) error) error {
 	var group run.Group
 	// The first signal removes the handler, so that a second one ends the process at once. An
-	// operator need not wait for a long drain.
-	group.Add(run.SignalHandler(ctx, syscall.SIGTERM, syscall.SIGINT))
+	// operator at a terminal need not wait for a long drain.
+	group.Add(run.SignalHandler(ctx, syscall.SIGINT))
 	for _, task := range tasks {
 		taskCtx, cancel := context.WithCancel(ctx)
 		group.Add(func() error { return task(taskCtx) }, func(error) { cancel() })
--- a/internal/command/daemon/gateway.go
+++ b/internal/command/daemon/gateway.go
@@ -27,9 +27,7 @@
 	return platformCommand("rank-agent", "Run the process beside a model engine, on the users' platform.", serve)
 }
 
-const platformSignalsHelp = "\n  Signals:\n" +
-	"    SIGTERM   Stop gracefully: no request is cut. Further ones change nothing.\n" +
-	"    SIGINT    The same; a second one stops at once.\n" +
+const platformSignalsHelp = "\n  Signals:\n" + stopSignalsHelp +
 	"    SIGHUP    Read the settings again, and log what they say.\n"
 
 // receive returns a channel that receives a signal from now on, until stop is called.
