--- a/test/late_stop_test.go
+++ b/test/late_stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"net"
 	"net/http"
 	"sync"
@@ -44,7 +45,7 @@
 	t.Parallel()
 	const callers = 120
 	s := startSite(t, 1, func(r fakeplatform.ReceivedRequest, conn net.Conn) bool {
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(3*time.Second + spread(r.ID(), 2*time.Second))
 		return fakeplatform.Echo(r, conn)
 	})
 	s.store.Configure(2, longRoutes(), fakeplatform.CallerKey)
@@ -68,7 +69,8 @@
 			}
 		})
 	}
-	time.Sleep(4 * time.Second)
+	// The first requests have ended, so that it is known how long they take.
+	time.Sleep(6 * time.Second)
 	s.repeatSignals(g, 7*time.Second)
 	select {
 	case <-g.Ended():
@@ -79,6 +81,13 @@
 	s.checkSentRequests(statuses)
 }
 
+// spread returns a time below a limit that depends on the request alone.
+func spread(id string, limit time.Duration) time.Duration {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	return time.Duration(h.Sum64() % uint64(limit))
+}
+
 // sendLong sends a request with a deadline far beyond the grace period of a stop.
 func sendLong(client *http.Client, ip, path, id string) int {
 	req, err := fakeplatform.NewRequest(net.JoinHostPort(ip, fakeplatform.PortCallers), path, id)
