Follow the store past records that cannot be decoded

What operators saw elsewhere: another writer left one odd entry among those of the workers, and the machines that read the list stopped following it.

Cause: one record that cannot be decoded made the whole read of a log or a listing fail, and the next read began with the same record. A record without a key's length, or an item with a value of another type or nested deeply, kept an entry from starting, or from learning of any later registration, for good.

Change: the store's client leaves out what cannot be decoded, tells about it, and goes on behind it. Where no record can be told from the next, the follower reads the newest records of all keys instead of the same bytes again.

--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -50,7 +50,7 @@
 
 // storeReader is the part of the store that a follower uses.
 type storeReader interface {
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) ([]keyed.Record, error)
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Log, error)
 	ListNewest(ctx context.Context, topic string) (platform.Listing, error)
 }
 
@@ -161,8 +161,12 @@
 		*next = listing.End
 		return u, nil
 	}
-	records, err := f.store.Read(callCtx, f.topic, *next, f.wait)
+	part, err := f.store.Read(callCtx, f.topic, *next, f.wait)
 	u.at = clock.Now()
+	if errors.Is(err, platform.ErrLogUnreadable) {
+		// The same bytes would be read again and again; the newest records of all keys do without them.
+		*next = -1
+	}
 	if err != nil {
 		var expired *platform.ExpiredError
 		if errors.As(err, &expired) {
@@ -173,9 +177,6 @@
 		}
 		return u, err
 	}
-	u.records = records
-	if len(records) > 0 {
-		*next = records[len(records)-1].Offset + 1
-	}
+	u.records, *next = part.Records, part.Next
 	return u, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,6 +142,7 @@
 		stopped:           make(chan struct{}),
 	}
 	g.shutdown = g.fleet.shutdown
+	g.store.OnRecordError = newRecordLog(logging.Part(logger, "store")).report
 	g.fleet.ejections, g.fleet.limitsStated, g.fleet.restsAsked = counters.ejected, counters.limited, counters.rested
 	g.fleet.divisions = counters.divisions
 	g.fleet.logger = logging.Part(logger, "servers")
--- a/test/fakeplatform/store.go
+++ b/test/fakeplatform/store.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -26,6 +27,8 @@
 	*httptest.Server
 	mu     sync.Mutex
 	topics map[string][][2]string
+	// odd are records that are no keyed ones, by topic and offset.
+	odd map[string]map[int]OddRecord
 	// firstOffsets are the lowest offsets still readable, by topic.
 	firstOffsets map[string]int
 	// Limits are the limits on callers in the configurations that are published from now on.
@@ -97,6 +100,27 @@
 	s.topics[topic] = append(s.topics[topic], [2]string{key, value})
 }
 
+// OddRecord is a record as no writer of keyed records leaves it.
+type OddRecord struct {
+	// Log holds its bytes in the log, without their length, and Item its JSON in listings; empty if it is in none.
+	Log  []byte
+	Item string
+}
+
+// PutOdd appends an odd record to a topic.
+func (s *Store) PutOdd(topic string, r OddRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.odd == nil {
+		s.odd = make(map[string]map[int]OddRecord)
+	}
+	if s.odd[topic] == nil {
+		s.odd[topic] = make(map[int]OddRecord)
+	}
+	s.odd[topic][len(s.topics[topic])] = r
+	s.topics[topic] = append(s.topics[topic], [2]string{})
+}
+
 // Truncate drops the history of all topics. A reader that is behind gets 410 Gone and must read the
 // newest record of each key instead.
 func (s *Store) Truncate() {
@@ -119,6 +143,7 @@
 		s.mu.Lock()
 		records := s.topics[r.URL.Query().Get("topic")]
 		first := s.firstOffsets[r.URL.Query().Get("topic")]
+		odd := maps.Clone(s.odd[r.URL.Query().Get("topic")])
 		s.mu.Unlock()
 		if from < first {
 			w.WriteHeader(http.StatusGone)
@@ -131,7 +156,12 @@
 		}
 		answer := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 		answer = binary.BigEndian.AppendUint64(answer, uint64(first))
-		for _, rec := range records[min(from, len(records)):] {
+		for offset := min(from, len(records)); offset < len(records); offset++ {
+			rec := records[offset]
+			if raw, isOdd := odd[offset]; isOdd {
+				answer = append(binary.BigEndian.AppendUint32(answer, uint32(len(raw.Log))), raw.Log...)
+				continue
+			}
 			answer = binary.BigEndian.AppendUint32(answer, uint32(1+len(rec[0])+len(rec[1])))
 			answer = append(answer, byte(len(rec[0])))
 			answer = append(append(answer, rec[0]...), rec[1]...)
@@ -149,14 +179,20 @@
 	for i, rec := range records {
 		last[rec[0]] = i
 	}
-	items := []map[string]any{}
+	var items []string
+	for _, r := range s.odd[r.URL.Query().Get("topic")] {
+		if r.Item != "" {
+			items = append(items, r.Item)
+		}
+	}
 	for key, i := range last {
 		if records[i][1] == "" {
 			continue
 		}
-		items = append(items, map[string]any{"key": key, "value": base64.StdEncoding.EncodeToString([]byte(records[i][1])), "offset": i})
+		item, _ := json.Marshal(map[string]any{"key": key, "value": base64.StdEncoding.EncodeToString([]byte(records[i][1])), "offset": i})
+		items = append(items, string(item))
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "truncated": false, "end": len(records)})
+	_, _ = fmt.Fprintf(w, `{"items":[%s],"truncated":false,"end":%d}`, strings.Join(items, ","), len(records))
 }
 
 func (s *Store) append(w http.ResponseWriter, r *http.Request) {
