Refuse registrations with figures and addresses that nothing can have

What could happen: an odd entry whose fields have the right types counted as a backend server. Its concurrency could make the sum of a service's slots overflow, its cold time overflow a duration to a negative one, its address be port 0, all addresses of the entry's own VM or a multicast group, and its ID put further lines into a header.

Cause: the fields were checked for their types and the concurrency for being above zero.

--- a/internal/gateway/oddrecords_test.go
+++ b/internal/gateway/oddrecords_test.go
@@ -39,7 +39,12 @@
 	"nested":                    nested,
 	"nested in a field":         `{"service":` + nested + `}`,
 	"a number too large":        registrationOf("127.0.0.1:1", "99999999999999999999", "0"),
+	"the largest number":        registrationOf("127.0.0.1:1", "9223372036854775807", "0"),
 	"a port out of range":       registrationOf("127.0.0.1:99999", "4", "0"),
+	"port 0":                    registrationOf("127.0.0.1:0", "4", "0"),
+	"any address":               registrationOf("0.0.0.0:1", "4", "0"),
+	"a multicast address":       registrationOf("224.0.0.1:1", "4", "0"),
+	"cold for ever":             registrationOf("127.0.0.1:1", "4", "1e300"),
 	"concurrency below zero":    registrationOf("127.0.0.1:1", "-4", "0"),
 	"no JSON":                   "\x00\xff",
 	"a list":                    "[]",
@@ -64,6 +69,9 @@
 	put["key/empty"] = func(s *fakeplatform.Store) {
 		s.Put(platform.TopicServers, "", registrationOf("127.0.0.1:1", "4", "0"))
 	}
+	put["key/control bytes"] = func(s *fakeplatform.Store) {
+		s.Put(platform.TopicServers, "i\r\nX: 1", registrationOf("127.0.0.1:1", "4", "0"))
+	}
 	for name, putOdd := range put {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -81,7 +89,7 @@
 	e := start(t, settingsFor(store))
 	isKnown := func(id string) bool { return e.fleet.isKnown(id) }
 	e.until("the server before is known", func() bool { return isKnown("i-before") })
-	if isKnown("i-odd") || isKnown("") {
+	if isKnown("i-odd") || isKnown("") || isKnown("i\r\nX: 1") {
 		t.Error("an odd record counts as a server")
 	}
 	putOdd(store)
