Read the platform's list and log past odd entries

On the second request path, one entry of the list of VMs or one record of the log that could not be decoded failed the whole read, again and again; an entry without an ID counted as a VM, whose consent to each change of the configuration was waited for.

Cause: the answers were decoded whole.

Change: both are split by internal/jsonlist and each element is decoded for itself. An entry of the list that cannot be decoded, or has no ID, is left out and logged. A record of the log that cannot be decoded has no data at the offset where it stands, so that each process comes to the same verdict on it, as on data that is no record.

--- a/internal/member/follow.go
+++ b/internal/member/follow.go
@@ -260,6 +260,9 @@
 	for ctx.Err() == nil {
 		list, err := n.options.Platform.ListVMs(ctx, last)
 		if err == nil && list != last {
+			for _, malformed := range list.Malformed {
+				_ = n.logger.Log("msg", "An entry of the platform's list of VMs cannot be decoded and is ignored.", "result", result.Label(api.ResultCode_BAD_LIST), "err", malformed)
+			}
 			reporters := n.selectReporters(list.VMs)
 			n.Do(func() {
 				n.setVMs(list.VMs)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,6 +16,7 @@
 
 	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/internal/bounded"
+	"github.com/apricothub/apricothub/internal/jsonlist"
 	"github.com/apricothub/apricothub/internal/response"
 )
 
@@ -92,10 +93,14 @@
 	// Oldest is the oldest offset kept, NextOffset the offset of the next append.
 	Oldest     int64 `json:"first"`
 	NextOffset int64 `json:"next"`
-	Records    []struct {
-		Offset int64  `json:"offset"`
-		Data   []byte `json:"data"`
-	} `json:"records"`
+	// Records are in order. A record whose data cannot be decoded has none.
+	Records []LogRecord `json:"-"`
+}
+
+// LogRecord is a record of the log.
+type LogRecord struct {
+	Offset int64  `json:"offset"`
+	Data   []byte `json:"data"`
 }
 
 // LogRecords returns the records in the form in which processes exchange them.
@@ -111,12 +116,31 @@
 // It returns an *ExpiredError for an offset that is no longer kept.
 func (c *Client) Read(ctx context.Context, from int64, limit int, wait time.Duration) (*Batch, error) {
 	path := fmt.Sprintf("%s?from=%d&limit=%d&wait_ms=%d", c.recordsPath, from, limit, wait.Milliseconds())
-	var batch Batch
-	err := c.doJSON(ctx, http.MethodGet, path, nil, wait, &batch)
+	resp, err := c.do(ctx, http.MethodGet, path, nil, wait, "")
 	if err != nil {
 		return nil, errors.Wrap(err, "read the log")
 	}
-	return &batch, nil
+	batch := &Batch{}
+	records, err := decodeList(resp, "records", batch)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the log")
+	}
+	for _, raw := range records {
+		record := decodeRecord(raw, from)
+		from = record.Offset + 1
+		batch.Records = append(batch.Records, record)
+	}
+	return batch, nil
+}
+
+// decodeRecord decodes the record that is expected at an offset. What cannot be decoded has no data: each process must
+// come to the same verdict on the record, and go on after it.
+func decodeRecord(raw []byte, expected int64) LogRecord {
+	record := LogRecord{Offset: -1}
+	if err := json.Unmarshal(raw, &record); err != nil || record.Offset < 0 {
+		return LogRecord{Offset: expected}
+	}
+	return record
 }
 
 func (c *Client) doJSON(ctx context.Context, method, path string, body []byte, wait time.Duration, response any) error {
@@ -166,6 +190,19 @@
 	return &storeResponse{status: resp.StatusCode, body: data, etag: resp.Header.Get("ETag")}, nil
 }
 
+// decodeList decodes a response with a list in a field. It returns the elements of the list, and decodes the rest of the
+// response into rest.
+func decodeList(resp *storeResponse, field string, rest any) ([]json.RawMessage, error) {
+	if resp.status != http.StatusOK {
+		return nil, decodeResponse(resp.status, resp.body, rest)
+	}
+	others, elements, err := jsonlist.Cut(resp.body, field)
+	if err != nil {
+		return nil, errors.Wrap(err, "the platform's answer cannot be read")
+	}
+	return elements, decodeResponse(resp.status, others, rest)
+}
+
 func decodeResponse(status int, data []byte, into any) error {
 	if status == http.StatusGone {
 		var expired struct {
--- a/internal/platform/vms.go
+++ b/internal/platform/vms.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"slices"
 
@@ -24,6 +25,9 @@
 	Offer string `json:"offer,omitempty"`
 }
 
+// errNoID is the error of an entry of the list without an ID.
+var errNoID = errors.New("the VM has no ID")
+
 // Roles and states in the platform's list.
 const (
 	RoleEntry    = "entry"
@@ -33,8 +37,10 @@
 
 // VMList is the platform's list of VMs as of one read.
 type VMList struct {
-	VMs  []VM
-	etag string
+	VMs []VM
+	// Malformed are the errors of entries that cannot be decoded and are left out.
+	Malformed []error
+	etag      string
 }
 
 // ListVMs returns the platform's list of live and leaving VMs. It returns last itself if the list
@@ -53,14 +59,25 @@
 	if resp.status == http.StatusNotModified && etag != "" {
 		return last, nil
 	}
-	var response struct {
-		VMs []VM `json:"vms"`
-	}
-	if err := decodeResponse(resp.status, resp.body, &response); err != nil {
+	entries, err := decodeList(resp, "vms", &struct{}{})
+	if err != nil {
 		return nil, errors.Wrap(err, "read the list of VMs")
 	}
-	if last != nil && last.etag == resp.etag && slices.Equal(last.VMs, response.VMs) {
+	list := &VMList{etag: resp.etag}
+	for i, raw := range entries {
+		var vm VM
+		err := json.Unmarshal(raw, &vm)
+		if err == nil && vm.ID == "" {
+			err = errNoID
+		}
+		if err != nil {
+			list.Malformed = append(list.Malformed, errors.Wrapf(err, "entry %d, %q", i, vm.ID))
+			continue
+		}
+		list.VMs = append(list.VMs, vm)
+	}
+	if last != nil && last.etag == list.etag && slices.Equal(last.VMs, list.VMs) {
 		return last, nil
 	}
-	return &VMList{VMs: response.VMs, etag: resp.etag}, nil
+	return list, nil
 }
