Test odd records in the topics of the system itself

Held: with odd records and values among the lists of entries, retry claims and quarantines (bytes that are no message, times and counts at the ends of their range, an address of a broadcast), two entries start, find each other by the store alone and serve with retries from the budget. The records that made whole reads fail are left out since the store's client goes past them.

--- a/internal/gateway/oddrecords_test.go
+++ b/internal/gateway/oddrecords_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"fmt"
+	"math"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/platform"
 	"github.com/apricothub/apricothub/test/fakeplatform"
 )
@@ -105,3 +110,53 @@
 		}
 	}
 }
+
+// storedMessage returns a record of this system in its encoding.
+func storedMessage(t *testing.T, m proto.Message) string {
+	t.Helper()
+	value, err := proto.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(value)
+}
+
+// Guards against an odd record in a topic of this system that ends an entry, keeps it from starting or from its list of
+// entries, or spends its retries.
+func TestAnOddRecordInATopicOfItsOwn(t *testing.T) {
+	t.Parallel()
+	values := map[string]string{
+		"no message":     "\xff\xff\xff",
+		"text":           nested,
+		"claims":         storedMessage(t, &api.RetryClaims{Claims: []*api.RetryClaim{{Id: math.MaxUint64, Tokens: math.MaxUint32, AgeMs: math.MaxUint32}}}),
+		"a quarantine":   storedMessage(t, &api.StoredQuarantine{BegunAtUnixMs: math.MinInt64, UntilUnixMs: math.MaxInt64, Strikes: math.MaxUint32}),
+		"a popularity":   storedMessage(t, &api.ExpertPopularity{Sets: [][]byte{{1}, {}}}),
+		"an odd address": "255.255.255.255",
+	}
+	for _, topic := range []string{topicMembers, topicRetries, topicQuarantines} {
+		t.Run(topic, func(t *testing.T) {
+			t.Parallel()
+			store := fakeplatform.NewStore(t)
+			store.Configure(1, fakeplatform.Routes(), "key-1")
+			store.Serve(t, "i-a", fakeplatform.Echo)
+			store.Serve(t, "i-b", func(fakeplatform.ReceivedRequest, net.Conn) bool { return false })
+			for _, r := range oddRecords {
+				store.PutOdd(topic, r)
+			}
+			for name, value := range values {
+				store.Put(topic, name, value)
+				store.Put(topic, "app", value)
+			}
+			first := start(t, settingsFor(store))
+			second := start(t, settingsFor(store))
+			for _, e := range []*entry{first, second} {
+				e.until("both entries are known", func() bool { return e.view.Load().entries == 2 })
+			}
+			for n := range 20 {
+				if r := first.ask("GET", "/look/1", fmt.Sprint("r", n)); r.status != http.StatusOK {
+					t.Errorf("a request that one server of two fails got %s", r)
+				}
+			}
+		})
+	}
+}
