Refuse an encoding that no caller has asked for

What callers saw: a success with a Content-Encoding, from a faulty server, came through to callers that ask for no encoding. By the platform's pages it is not the body of the server.

Cause: the field was passed on like any other.

Evidence: TestAnEncodingThatNobodyAskedFor failed before.

Change: at gateways such an answer breaks the attempt, which may have run; the request of a caller that sends Accept-Encoding is answered as before. Agents are unchanged: outside the platform a server may encode without being asked.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -171,6 +171,9 @@
 	if a.resp.StatusCode < http.StatusMultipleChoices && !a.answer.Signed {
 		return a.breakOff(errUnsigned)
 	}
+	if a.answer.Encoded && !platform.AsksForEncoding(a.t.header) {
+		return a.breakOff(errUnaskedEncoding)
+	}
 	a.g.fleet.recordBegun(a.t.service, clock.Now()-sentAt)
 	if a.t.route.Kind == routing.Stream && a.resp.StatusCode == http.StatusOK && isEventStream(a.resp.Header) {
 		return a.passOnEvents(ctx)
@@ -354,6 +357,9 @@
 // server may send one.
 var errUnsigned = errors.New("the success has no signature of a backend server")
 
+// errUnaskedEncoding is the error of an encoded body for a caller that has asked for none.
+var errUnaskedEncoding = errors.New("the body is encoded, and the caller has asked for no encoding")
+
 // errLongError is the error of an error answer that is too long to be kept while other servers are tried.
 var errLongError = errors.New("the error of the backend server is too long")
 
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -106,6 +106,21 @@
 	}
 }
 
+// Guards against an encoded body that a caller gets who has asked for none: it is not the body of the server.
+func TestAnEncodingThatNobodyAskedFor(t *testing.T) {
+	t.Parallel()
+	encode := fakeplatform.AddHeader(fakeplatform.Echo, "Content-Encoding", func(fakeplatform.ReceivedRequest) string { return "gzip" })
+	_, servers, e := startWorld(t, encode)
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	if r := e.askWith(client, "POST", "/push/1", "unasked"); r.status != http.StatusBadGateway || countRequests(servers, "unasked") != 1 {
+		t.Errorf("the caller got %s, want 502", r)
+	}
+	asked := func(r *http.Request) { r.Header.Set("Accept-Encoding", "gzip") }
+	if r := e.askWith(client, "POST", "/push/1", "asked", asked); r.status != http.StatusOK || r.header.Get("Content-Encoding") != "gzip" {
+		t.Errorf("a caller that asked for it got %s", r)
+	}
+}
+
 // countRequests returns how often the servers have received the request with an ID.
 func countRequests(servers []*fakeplatform.Server, id string) int {
 	n := 0
