Soak with malformed responses, odd records and series of signals

The soak of a site gets three faults: a backend server that runs requests and answers with responses of test/malformed, records among the registrations that cannot be decoded or used, and a gateway that is told to stop, to read its settings and of a new configuration again and again before it is gone.

--- a/test/gateway_once_test.go
+++ b/test/gateway_once_test.go
@@ -45,6 +45,13 @@
 	return fakeplatform.Echo(s, conn)
 }
 
+// run records that a request has run.
+func (r *pushLedger) run(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[id]++
+}
+
 func (r *pushLedger) count(id string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/test/site_soak_faults_test.go
+++ b/test/site_soak_faults_test.go
@@ -186,7 +186,7 @@
 
 // injectFor injects one fault after another for a duration.
 func (b *faultInjector) injectFor(duration time.Duration) {
-	all := slices.Concat(siteFaults, statementFaults)
+	all := slices.Concat(siteFaults, statementFaults, malformedFaults)
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		fault := all[b.rng.IntN(len(all))]
 		b.mu.Lock()
--- a/test/site_soak_statements_test.go
+++ b/test/site_soak_statements_test.go
@@ -154,5 +154,5 @@
 func (s *siteSoak) answer(seen fakeplatform.ReceivedRequest, conn net.Conn) bool {
 	id := seen.Request.Header.Get("Target-Instance")
 	s.arrivals[id].record(time.Since(s.startedAt))
-	return s.statements.answer(id, s.pushes.answer)(seen, conn)
+	return s.malformed.answer(id, s.pushes, s.statements.answer(id, s.pushes.answer))(seen, conn)
 }
--- a/test/site_soak_test.go
+++ b/test/site_soak_test.go
@@ -13,6 +13,7 @@
 	"github.com/apricothub/apricothub/internal/history"
 	"github.com/apricothub/apricothub/test/fakeplatform"
 	"github.com/apricothub/apricothub/test/harness"
+	"github.com/apricothub/apricothub/test/malformed"
 )
 
 const (
@@ -53,6 +54,7 @@
 	serverLinks, storeLinks []*harness.Forwarder
 	pushes                  *pushLedger
 	statements              *serverStatements
+	malformed               *malformedServers
 	prompts                 *crashingPrompts
 	// retries counts the streams that callers ask for, and those that engines run again.
 	retries *retryMeter
@@ -81,7 +83,7 @@
 	t.Helper()
 	s := &siteSoak{
 		seed: seed, pushes: &pushLedger{runs: make(map[string]int), rng: rand.New(rand.NewPCG(seed, 1))},
-		statements: newServerStatements(), retries: newRetryMeter(),
+		statements: newServerStatements(), malformed: &malformedServers{responses: make(map[string]malformed.Response)}, retries: newRetryMeter(),
 		arrivals: make(map[string]*arrivalTimes), startedAt: time.Now(), stop: make(chan struct{}),
 		outcomes: make(map[string]outcome), attemptIDs: make(map[string][]string), faultCounts: make(map[string]int),
 		history: &history.History{},
