--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -34,6 +35,8 @@
 	DelayMS        int64 `json:"delay_ms"`
 	CloseAfterRead bool  `json:"close_after_read"`
 	Redirect       bool  `json:"redirect"`
+	// RawAnswer replaces the whole response to a call that was executed; empty for none.
+	RawAnswer string `json:"raw_answer"`
 }
 
 // Answer is the response body of every call.
@@ -74,6 +77,8 @@
 		switch {
 		case behaviour.CloseAfterRead:
 			panic(http.ErrAbortHandler) // The call was executed, but its response is lost.
+		case behaviour.RawAnswer != "":
+			answerRaw(w, behaviour.RawAnswer)
 		case behaviour.Redirect:
 			w.Header().Set("Location", "/redirected"+r.URL.Path)
 			return answer, web.Refusal{Status: http.StatusTemporaryRedirect, Body: answer}
@@ -82,6 +87,15 @@
 	})(w, r)
 }
 
+// answerRaw writes a text in place of a response, and ends the handler.
+func answerRaw(w http.ResponseWriter, text string) {
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // recordStart adds the call to the ledger before anything else can happen to it.
 func (s *plainService) recordStart(r *http.Request, body []byte) (index int, behaviour Behaviour) {
 	sum := sha256.Sum256(body)
