Refuse late requests before their bodies, and end a drain with its process

A request that cannot end in a planned stop is refused before its body is read. The tests share one server of malformed responses.

--- a/internal/agent/malformed_test.go
+++ b/internal/agent/malformed_test.go
@@ -18,7 +18,7 @@
 	for _, m := range malformed.Responses() {
 		t.Run(m.Name, func(t *testing.T) {
 			t.Parallel()
-			b := newBackend("http://" + answeringServer(t, m.Text("r1")))
+			b := newBackend("http://" + malformed.Serve(t, m.Text("r1")))
 			for _, body := range []string{"x", strings.Repeat("x", maxOneshotBodyBytes+1)} {
 				resp, err := b.send(t.Context(), &api.Work{Method: http.MethodPost, Path: "/push", Body: []byte(body)})
 				if err == nil {
@@ -40,7 +40,7 @@
 		t.Run(m.Name, func(t *testing.T) {
 			t.Parallel()
 			text := strings.ReplaceAll(m.Text("r1"), "id: 1\ndata: x\n\n", `{"cold":true}  `)
-			address := answeringServer(t, text)
+			address := malformed.Serve(t, text)
 			if _, err := newBackend("http://" + address).queryCold(t.Context()); err == nil {
 				t.Error("a query was answered")
 			}
@@ -58,7 +58,7 @@
 
 // Guards against sound responses that are refused, over both ways in which work is sent.
 func TestASoundResponseIsAnAnswer(t *testing.T) {
-	b := newBackend("http://" + answeringServer(t, malformed.Sound("r1")))
+	b := newBackend("http://" + malformed.Serve(t, malformed.Sound("r1")))
 	for _, body := range []string{"x", strings.Repeat("x", maxOneshotBodyBytes+1)} {
 		resp, err := b.send(t.Context(), &api.Work{Method: http.MethodPost, Path: "/push", Body: []byte(body)})
 		if err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -267,7 +267,7 @@
 	end := clock.Now() + time.Duration(addressKeepMs+policy.GetDrainMs())*time.Millisecond
 	e.shutdown.Begin(end)
 	sleep(workCtx, time.Duration(addressKeepMs)*time.Millisecond)
-	if err := e.shutdown.Drain(server, listener, end+answerMargin); err != nil {
+	if err := e.shutdown.Drain(workCtx, server, listener, end+answerMargin); err != nil {
 		_ = e.logger.Log("msg", "The entry stops with requests in flight.", "result", result.Label(api.ResultCode_ANSWER_BROKEN), "err", err)
 	} else {
 		// An agent that is not told of the delivery keeps the answer for its caller to come back,
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -142,6 +142,9 @@
 	}
 	t.limit = t.deadline
 	g.limitByStop(t)
+	if err := g.refuseByStop(t); err != nil {
+		return err
+	}
 	if err := g.readBody(t, r, v.table.Limits.BodyBytes); err != nil {
 		return err
 	}
@@ -175,10 +178,6 @@
 		return
 	}
 	defer g.prompts.release(t)
-	if err := g.refuseByStop(t); err != nil {
-		g.giveUp(ctx, t, err)
-		return
-	}
 	g.fleet.retries.countRequest(t.service, clock.Now())
 	id, s, err := g.fleet.admitRequest(ctx, t, clock.Now())
 	if err != nil {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -41,7 +42,7 @@
 	close(g.leave)
 	_ = level.Info(g.logger).Log("msg", "The process leaves.", "grace_ms", grace.Milliseconds())
 	time.Sleep(min(leaveDelay, grace/3))
-	if err := g.shutdown.Drain(callers.Server, callers.listener, began+grace-exitMargin); err != nil {
+	if err := g.shutdown.Drain(context.Background(), callers.Server, callers.listener, began+grace-exitMargin); err != nil {
 		_ = level.Warn(g.logger).Log("msg", "Requests were still in flight at the end of the grace period and are cut off.", "err", err,
 			"result", result.Label(api.ResultCode_ANSWER_BROKEN))
 	}
--- a/internal/response/transport_test.go
+++ b/internal/response/transport_test.go
@@ -1,9 +1,7 @@
 package response
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -14,37 +12,6 @@
 	"github.com/apricothub/apricothub/test/malformed"
 )
 
-// serveText answers each request with a text, and returns the server's URL.
-func serveText(t *testing.T, text string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				br := bufio.NewReader(conn)
-				for {
-					if _, err := http.ReadRequest(br); err != nil {
-						return
-					}
-					if _, err := io.WriteString(conn, text); err != nil {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return "http://" + listener.Addr().String()
-}
-
 // read reads a whole response over a transport.
 func read(t *testing.T, transport http.RoundTripper, method, url string) (string, error) {
 	t.Helper()
@@ -68,7 +35,7 @@
 			t.Parallel()
 			transport := Transport(&http.Transport{})
 			defer transport.CloseIdleConnections()
-			if body, err := read(t, transport, http.MethodGet, serveText(t, m.Text("r1"))); err == nil {
+			if body, err := read(t, transport, http.MethodGet, "http://"+malformed.Serve(t, m.Text("r1"))); err == nil {
 				t.Errorf("read as %q", body)
 			}
 		})
@@ -77,7 +44,7 @@
 
 // Guards against a caller of a transport that cannot tell a malformed response from a broken connection.
 func TestTransportTellsMalformedResponses(t *testing.T) {
-	_, err := read(t, Transport(&http.Transport{DisableKeepAlives: true}), http.MethodGet, serveText(t, "HTTP/1.1 200 OK\r\nX Spoiled: 1\r\n\r\n"))
+	_, err := read(t, Transport(&http.Transport{DisableKeepAlives: true}), http.MethodGet, "http://"+malformed.Serve(t, "HTTP/1.1 200 OK\r\nX Spoiled: 1\r\n\r\n"))
 	var syntax *SyntaxError
 	if !errors.As(err, &syntax) {
 		t.Errorf("error %v, want a SyntaxError", err)
@@ -86,7 +53,7 @@
 
 // Guards against a transport that refuses sound responses: over kept connections, to HEAD requests and over TLS.
 func TestTransportReadsSoundResponses(t *testing.T) {
-	url := serveText(t, malformed.Sound("r1"))
+	url := "http://" + malformed.Serve(t, malformed.Sound("r1"))
 	kept := Transport(&http.Transport{})
 	defer kept.CloseIdleConnections()
 	for range 3 {
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -94,18 +94,18 @@
 }
 
 // Drain closes the listener of a server and waits for the requests in flight. Those that have not ended when their time
-// is over are canceled, and have until exitBy to answer. It returns an error if any are cut off.
+// is over are canceled, and have until exitBy to answer. It returns an error if any are cut off, as when ctx ends.
 //
 // While requests are in flight, open connections are served: the library's own shutdown closes them without an answer
 // to the request that is on its way.
-func (s *Shutdown) Drain(server *http.Server, listener net.Listener, exitBy time.Duration) error {
+func (s *Shutdown) Drain(ctx context.Context, server *http.Server, listener net.Listener, exitBy time.Duration) error {
 	_ = listener.Close()
 	timer := time.AfterFunc(s.End()-clock.Now(), func() { s.cancel(ErrOver) })
 	defer timer.Stop()
-	for s.InFlight() > 0 && !s.IsOver() {
+	for s.InFlight() > 0 && !s.IsOver() && ctx.Err() == nil {
 		time.Sleep(checkInterval)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), exitBy-clock.Now())
+	ctx, cancel := context.WithTimeout(ctx, exitBy-clock.Now())
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if n := s.InFlight(); n > 0 {
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -54,7 +54,7 @@
 	}
 	end := clock.Now() + 200*time.Millisecond
 	s.Begin(end)
-	if err := s.Drain(server, listener, end+5*time.Second); err != nil {
+	if err := s.Drain(t.Context(), server, listener, end+5*time.Second); err != nil {
 		t.Error(err)
 	}
 	caller.Wait()
@@ -79,7 +79,7 @@
 	}
 	end := clock.Now() + 50*time.Millisecond
 	s.Begin(end)
-	if err := s.Drain(server, listener, end+50*time.Millisecond); err == nil {
+	if err := s.Drain(t.Context(), server, listener, end+50*time.Millisecond); err == nil {
 		t.Error("the end of a request that ignores its context was not reported")
 	}
 }
--- a/test/malformed/malformed.go
+++ b/test/malformed/malformed.go
@@ -3,7 +3,14 @@
 // All readers of responses are tested with the same list, so that none of them is more lenient than the others.
 package malformed
 
-import "strings"
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
 
 // Response is a malformed response with an intact body, where it has one.
 type Response struct {
@@ -164,3 +171,39 @@
 		interim("status 099", "HTTP/1.1 099 Early\r\n"),
 	}
 }
+
+// Serve answers each request with a text, on connections that it keeps open, and returns the server's address.
+func Serve(t testing.TB, text string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answer(conn, text)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// answer answers the requests on a connection with a text.
+func answer(conn net.Conn, text string) {
+	defer func() { _ = conn.Close() }()
+	br := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+	}
+}
