Bound the answers that an agent holds together

What could happen: a faulty backend server that answers without end filled the memory of its agent, and with it ended all requests there. Afterwards the agent refused work for as long as it kept the failed answers.

Cause: the memory for answers was checked against each answer alone, without the overhead of its parts, and failed answers kept their parts like whole ones.

Change: once all answers together exceed the limit, an answer with more than its share of it is broken off, so that short ones go on beside it. When memory is short, delivered answers are evicted first, and failed ones lose their parts; what became of their requests stays known.

--- a/coord/answer/answer_test.go
+++ b/coord/answer/answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -93,6 +94,49 @@
 	}
 }
 
+// Guards against answers without end that fill the memory together, and against short ones that yield to them.
+func TestAnswersShareTheMemory(t *testing.T) {
+	const limit, endless = 100_000, 10
+	store := NewStore(limit, time.Minute)
+	var buffers []*Buffer
+	add := func(id string) *Buffer {
+		b, err := store.Add(id, "c")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	for n := range endless {
+		buffers = append(buffers, add(strconv.Itoa(n)))
+	}
+	short := add("short")
+	for isFull := false; !isFull; {
+		isFull = true
+		for _, b := range buffers {
+			_, err := store.Append(b, []byte("x"))
+			isFull = isFull && err != nil
+		}
+	}
+	if store.Bytes() > 2*limit {
+		t.Errorf("%d bytes are held, want at most %d", store.Bytes(), 2*limit)
+	}
+	if _, err := store.Append(short, make([]byte, 100)); err != nil {
+		t.Errorf("a short answer: %v", err)
+	}
+	for _, b := range buffers {
+		store.Fail(b, 0, &api.Refusal{Code: api.ResultCode_ANSWER_BROKEN})
+	}
+	next := add("next")
+	if event, _ := buffers[0].Next(CursorAt(1)); event.GetRefusal() == nil {
+		t.Errorf("what became of a failed answer is lost: %v", event)
+	}
+	store.End(next, 0)
+	store.End(short, 0)
+	if store.Expire(2 * time.Minute); store.Bytes() != 0 || store.Len() != 0 || store.failed.Len() != 0 {
+		t.Errorf("%d bytes in %d answers are left, %d failed", store.Bytes(), store.Len(), store.failed.Len())
+	}
+}
+
 // Callers may never fetch their answers, but the memory for answers is limited: delivered answers
 // are evicted first, then new work is refused before it runs, and the remaining answers expire
 // after their retention.
--- a/coord/answer/store.go
+++ b/coord/answer/store.go
@@ -35,10 +35,15 @@
 	end     *api.End
 	refusal *api.Refusal
 
-	endedAt   time.Duration
-	delivered *list.Element // in Store.delivered, once a caller has the whole answer
+	endedAt time.Duration
+	// delivered and failed are the places in the lists of that name, once a caller has the whole answer, and once
+	// the answer has failed.
+	delivered, failed *list.Element
 }
 
+// size returns the memory that the answer takes, in bytes.
+func (b *Buffer) size() int64 { return int64(b.bytes) + int64(len(b.parts))*partOverheadBytes }
+
 // IsEnded reports whether the answer is closed, so that nothing more will be added.
 func (b *Buffer) IsEnded() bool { return b.end != nil || b.refusal != nil }
 
@@ -95,7 +100,8 @@
 	retention  time.Duration
 	bytes      int64
 	answers    map[string]*Buffer
-	delivered  *list.List // *Buffer, oldest first
+	// delivered and failed hold answers, oldest first. Those that have failed hold parts that nobody may use.
+	delivered, failed *list.List
 }
 
 // NewStore returns a store that holds up to limitBytes of answers, each for as long as
@@ -106,6 +112,7 @@
 		retention:  retention,
 		answers:    make(map[string]*Buffer),
 		delivered:  list.New(),
+		failed:     list.New(),
 	}
 }
 
@@ -113,7 +120,7 @@
 // still ask for: the work must then be refused before it runs, because its answer could not be
 // held.
 func (s *Store) Add(id, customer string) (*Buffer, error) {
-	s.evictDelivered()
+	s.makeRoom()
 	if s.bytes >= s.limitBytes {
 		return nil, ErrFull
 	}
@@ -132,9 +139,15 @@
 func (s *Store) SetHead(b *Buffer, head *api.Head) { b.head = head }
 
 // Append adds a part and returns its number. The caller must not change data afterwards. It
-// returns ErrFull if the answer alone exceeds the limit of the store.
+// returns ErrFull if the store has reached its limit and the answer takes more than its share of it.
+//
+// The share lets short answers go on beside one without end. All answers together take at most twice the limit, and the
+// last part of each.
 func (s *Store) Append(b *Buffer, data []byte) (uint64, error) {
-	if int64(b.bytes) > s.limitBytes {
+	if s.bytes > s.limitBytes {
+		s.makeRoom()
+	}
+	if s.bytes > s.limitBytes && b.size() > s.limitBytes/int64(max(1, len(s.answers))) {
 		return 0, ErrFull
 	}
 	b.parts = append(b.parts, data)
@@ -159,6 +172,7 @@
 	}
 	b.refusal = refusal
 	b.endedAt = now
+	b.failed = s.failed.PushBack(b)
 }
 
 // MarkDelivered records that a caller has received the whole answer. The answer is kept for
@@ -195,18 +209,26 @@
 // Bytes returns the memory that the answers take.
 func (s *Store) Bytes() int64 { return s.bytes }
 
-// evictDelivered removes delivered answers, oldest first, while more than half of the memory is
-// in use.
-func (s *Store) evictDelivered() {
+// makeRoom removes delivered answers and drops the parts of failed ones, oldest first, while more than half of the
+// memory is in use. What became of a failed answer stays known.
+func (s *Store) makeRoom() {
 	for s.bytes > s.limitBytes/2 && s.delivered.Len() > 0 {
 		s.remove(s.delivered.Front().Value.(*Buffer))
 	}
+	for s.bytes > s.limitBytes/2 && s.failed.Len() > 0 {
+		b := s.failed.Remove(s.failed.Front()).(*Buffer)
+		s.bytes -= b.size()
+		b.parts, b.bytes, b.failed = nil, 0, nil
+	}
 }
 
 func (s *Store) remove(b *Buffer) {
 	if b.delivered != nil {
 		s.delivered.Remove(b.delivered)
 	}
-	s.bytes -= int64(b.bytes) + int64(len(b.parts))*partOverheadBytes
+	if b.failed != nil {
+		s.failed.Remove(b.failed)
+	}
+	s.bytes -= b.size()
 	delete(s.answers, b.ID)
 }
