--- a/internal/gateway/oddrecords_test.go
+++ b/internal/gateway/oddrecords_test.go
@@ -49,6 +49,7 @@
 	"port 0":                    registrationOf("127.0.0.1:0", "4", "0"),
 	"any address":               registrationOf("0.0.0.0:1", "4", "0"),
 	"a multicast address":       registrationOf("224.0.0.1:1", "4", "0"),
+	"a zone without end":        strings.Replace(registrationOf("127.0.0.1:1", "4", "0"), `"zone":"a"`, `"zone":"`+strings.Repeat("a", 100_000)+`"`, 1),
 	"cold for ever":             registrationOf("127.0.0.1:1", "4", "1e300"),
 	"concurrency below zero":    registrationOf("127.0.0.1:1", "-4", "0"),
 	"no JSON":                   "\x00\xff",
