--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -121,6 +121,16 @@
 	}
 }
 
+// Guards against a success without a signature for the caller, because the server names it as a field of the connection.
+func TestASignatureThatIsNotPassedOn(t *testing.T) {
+	t.Parallel()
+	keepSignature := fakeplatform.AddHeader(fakeplatform.Echo, "Connection", func(fakeplatform.ReceivedRequest) string { return "x, upstream-signature" })
+	_, servers, e := startWorld(t, keepSignature)
+	if r := e.ask("POST", "/push/1", "push"); r.status != http.StatusBadGateway || countRequests(servers, "push") != 1 {
+		t.Errorf("the caller got %s, want 502", r)
+	}
+}
+
 // countRequests returns how often the servers have received the request with an ID.
 func countRequests(servers []*fakeplatform.Server, id string) int {
 	n := 0
