Say once what a stopping process refuses, and what a response is

The refusal of a request that cannot end in a planned stop stood in gateways and entries; it is in internal/shutdown now. The page of the package response says what it is for all its readers. No change of behaviour.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -152,7 +152,7 @@
 	if !e.directory.hasCapacity(req.offer) || e.directory.agentDraining(req.callerTicket) {
 		return out.finish(e.dispatchWithoutGate(ctx, req, out))
 	}
-	if refused := e.refuseByStop(req); refused != nil {
+	if refused := e.shutdown.Refuse(req.offer, req.deadline); refused != nil {
 		return out.finish(e.settleRefusal(ctx, req, refused, out))
 	}
 	waitCtx, endWait := e.directory.withAgentDraining(ctx, req.callerTicket)
@@ -179,7 +179,7 @@
 	started, took := clock.Now(), time.Duration(0)
 	// A panic must not leave the slot taken for good.
 	defer func() { adm.done(took) }()
-	if refused := e.refuseByStop(req); refused != nil {
+	if refused := e.shutdown.Refuse(req.offer, req.deadline); refused != nil {
 		return e.settleRefusal(ctx, req, refused, out)
 	}
 	if err := e.bindKey(ctx, req); err != nil {
@@ -193,18 +193,6 @@
 	return nil
 }
 
-// stopRetryAfter is when a caller that a stopping entry has refused may come back: at once, since it goes to another
-// entry.
-const stopRetryAfter = 50 * time.Millisecond
-
-// refuseByStop returns an error if a request must not begin work any more, since it would not end before the process.
-func (e *entry) refuseByStop(req *request) *result.Error {
-	if e.shutdown.MayStart(req.offer, req.deadline) {
-		return nil
-	}
-	return result.Refuse(api.ResultCode_DRAINING, stopRetryAfter)
-}
-
 // dispatchWithoutGate handles a request that the gate must not queue. If no backend server is known
 // for the offer there is no capacity to share, and the gate would keep the offer's name, which the
 // caller may have made up. Such a request can only be sent with a ticket, to the agent that it
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,6 +12,7 @@
 	"github.com/apricothub/apricothub/internal/clock"
 	"github.com/apricothub/apricothub/internal/result"
 	"github.com/apricothub/apricothub/internal/routing"
+	"github.com/apricothub/apricothub/internal/shutdown"
 	"github.com/apricothub/apricothub/platform"
 )
 
@@ -142,7 +143,7 @@
 	}
 	t.limit = t.deadline
 	g.limitByStop(t)
-	if err := g.refuseByStop(t); err != nil {
+	if err := g.shutdown.Refuse(t.service, t.limit); err != nil {
 		return err
 	}
 	if err := g.readBody(t, r, v.table.Limits.BodyBytes); err != nil {
@@ -190,7 +191,7 @@
 	took := time.Duration(0)
 	defer func() { g.fleet.endRequest(id, t.service, took, clock.Now()) }()
 	for {
-		err := g.refuseByStop(t)
+		err := g.shutdown.Refuse(t.service, t.limit)
 		if d := g.prompts.acquire(t, clock.Now()); err == nil && d.Action != quarantine.Send {
 			err = refusedPrompt(d)
 		}
@@ -281,7 +282,7 @@
 		t.out.deliverFallback()
 		g.served(t, t.out.fallback.server)
 	case t.history.sent == 0 && isStopOver:
-		g.refuse(t, result.Refuse(api.ResultCode_DRAINING, stopRetryAfter))
+		g.refuse(t, shutdown.Refusal())
 	case t.history.sent == 0:
 		g.refuse(t, result.New(api.ResultCode_DEADLINE_UNREACHABLE))
 	case isStopOver:
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -21,9 +21,6 @@
 	exitMargin = 200 * time.Millisecond
 	// defaultGrace is the grace period if the settings give none.
 	defaultGrace = 8 * time.Second
-	// stopRetryAfter is when a caller that a stopping entry has refused may come back: at once, since it goes to
-	// another entry.
-	stopRetryAfter = 50 * time.Millisecond
 )
 
 // stop shuts down gracefully: the entry first leaves the list of addresses, goes on serving while callers still arrive,
@@ -49,17 +46,9 @@
 	return nil
 }
 
-// limitByStop ends a request that arrives during a planned stop before the process does.
+// limitByStop moves the deadline of a request that arrives during a planned stop to the end of the stop, if it is later.
 func (g *Gateway) limitByStop(t *task) {
 	if end := g.shutdown.End(); end > 0 {
 		t.deadline = min(t.deadline, end)
 	}
 }
-
-// refuseByStop returns an error if a request must not begin work any more, since it would not end before the process.
-func (g *Gateway) refuseByStop(t *task) *result.Error {
-	if g.shutdown.MayStart(t.service, t.limit) {
-		return nil
-	}
-	return result.Refuse(api.ResultCode_DRAINING, stopRetryAfter)
-}
--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -1,4 +1,8 @@
-// Package response holds the rules for responses of backend servers that gateways and agents share.
+// Package response reads HTTP/1.1 responses strictly by RFC 9112. All readers of responses use it: [Reader] for
+// connections of their own, [Transport] for those of net/http.
+//
+// The parser of net/http is lenient, and what it drops nobody can judge afterwards: a refusal whose field names have
+// spaces would be believed, and a body whose length is lost would last until its reader gives up.
 package response
 
 import (
--- a/internal/response/scanner.go
+++ b/internal/response/scanner.go
@@ -10,10 +10,7 @@
 
 // scanner follows the bytes of a connection from response to response, and finds those that are no response by
 // RFC 9112. It is a state machine without I/O.
-//
-// The reader of net/http is more lenient: for example, it takes a name with a space as the name of another field, and
-// drops what the field meant for the body. Lines may end with a line feed alone where RFC 9112 lets recipients accept
-// that, in the head and the trailer.
+// Lines of the head and the trailer may end with a line feed alone, which RFC 9112 lets recipients accept.
 type scanner struct {
 	state scanState
 	// answersHead means that the next response answers a HEAD request and has no body.
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -15,8 +15,10 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/apricothub/apricothub/api"
 	"github.com/apricothub/apricothub/decide/drain"
 	"github.com/apricothub/apricothub/internal/clock"
+	"github.com/apricothub/apricothub/internal/result"
 )
 
 // ErrOver is the cause with which the contexts of requests are canceled that have not ended in time.
@@ -83,6 +85,20 @@
 	s.tracker.Record(kind, took)
 }
 
+// retryAfter is when a refused caller may come back: at once, since it goes to another process.
+const retryAfter = 50 * time.Millisecond
+
+// Refusal returns the error of a request that has not run because the process stops.
+func Refusal() *result.Error { return result.Refuse(api.ResultCode_DRAINING, retryAfter) }
+
+// Refuse returns Refusal if a request of a kind must not start work any more, given its own limit, and nil otherwise.
+func (s *Shutdown) Refuse(kind string, limit time.Duration) *result.Error {
+	if s.MayStart(kind, limit) {
+		return nil
+	}
+	return Refusal()
+}
+
 // MayStart reports whether a request of a kind may start work now, given its own limit; zero for none.
 func (s *Shutdown) MayStart(kind string, limit time.Duration) bool {
 	if s.End() == 0 {
