Take no answer for whole whose connection was reset

Callers got a part of an answer as the whole of it. A backend server answered a long request at once, without a length, sent a part of the body and reset the connection while the request was still being written.

Cause: Linux reports a reset once, to the first call that asks. While a request is written on one goroutine and its response read on another, the write may take the error, and the read then meets what looks like an orderly end. A body without a length ends with its connection, so it looked whole; that the server was alive afterwards proved nothing. A server that closes a connection without reading what arrives does the same in two steps: an end, then a reset.

Lengths, chunks and heads that are cut were refused before.

Now a body without a length is whole only if its peer has ended its side in order and goes on reading. At the end of such a body response.Reader asks the kernel for the state of the connection, which a write cannot take away: a connection that was reset is closed on both sides. A body with a length or chunks needs none of this: one that is whole is served even if a reset follows. The check is in the reader that gateways, agents and all clients of http.Transport share, and its constructor asks for it, so that no reader goes without.

--- /dev/null
+++ b/internal/agent/earlyanswer_test.go
@@ -0,0 +1,46 @@
+package agent
+
+import (
+	"bytes"
+	"net/http"
+	"testing"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricothub/apricothub/api"
+	"github.com/apricothub/apricothub/test/earlyanswer"
+)
+
+// sendAndRead sends a request with a body of size bytes and reads its answer.
+func sendAndRead(t *testing.T, b *backend, size int) (answer string, err error) {
+	t.Helper()
+	resp, err := b.send(t.Context(), &api.Work{Method: http.MethodPost, Path: "/push", Body: make([]byte, size)})
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var body bytes.Buffer
+	err = readParts(resp, func(part []byte) error { body.Write(part); return nil })
+	return body.String(), err
+}
+
+// Guards against a part of an answer that reaches an entry as a whole one, because the backend server reset the
+// connection while the request was still being written.
+func TestAnEarlyAnswerThatIsCutIsNotWhole(t *testing.T) {
+	for name, a := range earlyanswer.Cut("text/plain") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := earlyanswer.Serve(t, func(*http.Request) earlyanswer.Answer { return a })
+			b := newBackend("http://" + server.Address())
+			for _, size := range a.Uploads() {
+				for range 5 {
+					answer, err := sendAndRead(t, b, size)
+					var failed *backendError
+					if err == nil || errors.As(err, &failed) && !failed.Sent && !a.AtOnce {
+						t.Errorf("a request of %d bytes: %q, %v, want an error that says that it was sent", size, answer, err)
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/agent/engineclient.go
+++ b/internal/agent/engineclient.go
@@ -71,19 +71,19 @@
 		return nil, err
 	}
 	c.isOpen.Store(true)
-	return &trackedConn{Conn: conn, isOpen: &c.isOpen}, nil
+	return &trackedConn{TCPConn: conn.(*net.TCPConn), isOpen: &c.isOpen}, nil
 }
 
 // trackedConn records that it was closed.
 type trackedConn struct {
-	net.Conn
+	*net.TCPConn
 	isOpen *atomic.Bool
 }
 
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	c.isOpen.Store(false)
-	return c.Conn.Close()
+	return c.TCPConn.Close()
 }
 
 // connect opens a new connection and reads the engine's state over it.
--- a/internal/agent/oneshot.go
+++ b/internal/agent/oneshot.go
@@ -10,6 +10,7 @@
 
 	"github.com/apricothub/apricothub/internal/bounded"
 	"github.com/apricothub/apricothub/internal/response"
+	"github.com/apricothub/apricothub/internal/sockets"
 )
 
 // maxOneshotBodyBytes limits the body of a request that oneshot sends. Up to this size the
@@ -76,7 +77,8 @@
 		return nil, err
 	}
 	limited := bounded.NewReader(conn, bounded.MaxHeaderBytes, "the header of an answer")
-	resp, err := response.NewReader(limited).Next(req)
+	isWritten := func() bool { return true }
+	resp, err := response.NewReader(limited, func() error { return sockets.CheckEnd(conn, isWritten) }).Next(req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/response/reader.go
+++ b/internal/response/reader.go
@@ -20,9 +20,10 @@
 	br *bufio.Reader
 }
 
-// NewReader returns a Reader of the responses in r.
-func NewReader(r io.Reader) *Reader {
-	in := &checkedReader{r: r}
+// NewReader returns a Reader of the responses in r. checkEnd is called if r ends in a body that ends with its connection,
+// and returns an error unless the connection has ended in order.
+func NewReader(r io.Reader, checkEnd func() error) *Reader {
+	in := &checkedReader{r: r, checkEnd: checkEnd}
 	return &Reader{in: in, br: bufio.NewReader(in)}
 }
 
@@ -52,9 +53,10 @@
 
 // checkedReader passes on the bytes of responses, and fails at the first byte that belongs to none.
 type checkedReader struct {
-	r       io.Reader
-	scanner scanner
-	err     error
+	r        io.Reader
+	checkEnd func() error
+	scanner  scanner
+	err      error
 }
 
 // Read implements io.Reader.
@@ -64,12 +66,24 @@
 	}
 	n, err := c.r.Read(p)
 	valid, malformed := c.scanner.scan(p[:n])
-	if malformed == nil {
-		return n, err
+	switch {
+	case malformed != nil:
+		c.err = malformed
+		if valid > 0 {
+			return valid, nil
+		}
+		return 0, malformed
+	case err == io.EOF && c.scanner.state == inOpenBody:
+		return n, c.end()
 	}
-	c.err = malformed
-	if valid > 0 {
-		return valid, nil
+	return n, err
+}
+
+// end returns io.EOF if the connection has ended in order, so that a body that ends with it is whole.
+func (c *checkedReader) end() error {
+	if err := c.checkEnd(); err != nil {
+		c.err = errors.Wrap(err, "the body ends with the connection")
+		return c.err
 	}
-	return 0, malformed
+	return io.EOF
 }
--- a/internal/response/reader_test.go
+++ b/internal/response/reader_test.go
@@ -8,12 +8,18 @@
 	"testing"
 	"testing/iotest"
 
+	"github.com/go-faster/errors"
+
 	"github.com/apricothub/apricothub/internal/bounded"
+	"github.com/apricothub/apricothub/internal/sockets"
 	"github.com/apricothub/apricothub/test/malformed"
 )
 
 var get = &http.Request{Method: http.MethodGet}
 
+// inOrder is the end of a connection that its peer has ended in order.
+func inOrder() error { return nil }
+
 // splits read a text whole and byte by byte, so that lines are complete and not.
 var splits = map[string]func(io.Reader) io.Reader{"whole": func(r io.Reader) io.Reader { return r }, "byte by byte": iotest.OneByteReader}
 
@@ -21,7 +27,7 @@
 func TestMalformedResponsesAreRefused(t *testing.T) {
 	for _, m := range malformed.Responses() {
 		for name, split := range splits {
-			r := NewReader(split(strings.NewReader(m.Text("r1"))))
+			r := NewReader(split(strings.NewReader(m.Text("r1"))), inOrder)
 			resp, err := r.Next(get)
 			if err == nil {
 				_, err = io.ReadAll(resp.Body)
@@ -62,7 +68,7 @@
 		for name, split := range splits {
 			req := &http.Request{Method: c.method}
 			// Two responses on one connection show that the end of the first one was found.
-			r := NewReader(split(strings.NewReader(c.text + c.text)))
+			r := NewReader(split(strings.NewReader(c.text+c.text)), inOrder)
 			for n := range 2 {
 				resp, err := r.Next(req)
 				if err != nil {
@@ -83,7 +89,7 @@
 
 // Guards against a body without a length that is checked as if another response followed.
 func TestABodyThatEndsWithTheConnection(t *testing.T) {
-	r := NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n\r\nok\x00\r\n\r\n"))
+	r := NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n\r\nok\x00\r\n\r\n"), inOrder)
 	resp, err := r.Next(get)
 	if err != nil {
 		t.Fatal(err)
@@ -93,10 +99,38 @@
 	}
 }
 
+// Guards against a part of a body that counts as whole because its connection seems to end in order, and against a whole
+// body that depends on the end of its connection.
+func TestOnlyABodyWithoutALengthNeedsTheEndOfItsConnection(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		needsEnd   bool
+	}{
+		{"no length", "HTTP/1.1 200 OK\r\n\r\nok", true},
+		{"no length and no body", "HTTP/1.1 200 OK\r\n\r\n", true},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\nok", true},
+		{"a length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false},
+		{"204", "HTTP/1.1 204 No Content\r\n\r\n", false},
+	} {
+		for name, split := range splits {
+			r := NewReader(split(iotest.DataErrReader(strings.NewReader(c.text))), func() error { return sockets.ErrReset })
+			resp, err := r.Next(get)
+			if err != nil {
+				t.Errorf("%s, %s: %v", c.name, name, err)
+				continue
+			}
+			if _, err := io.ReadAll(resp.Body); errors.Is(err, sockets.ErrReset) != c.needsEnd || !c.needsEnd && err != nil {
+				t.Errorf("%s, %s: error %v", c.name, name, err)
+			}
+		}
+	}
+}
+
 // Guards against bytes after a response that spoil it, or that are read as the response to the next request.
 func TestBytesAfterAResponseDoNotSpoilIt(t *testing.T) {
 	for _, extra := range []string{"\x00", "x", "\r\n", "HTTP/1.1 200 OK\r\nX Spoiled: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"} {
-		r := NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" + extra))
+		r := NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"+extra), inOrder)
 		resp, err := r.Next(get)
 		if err != nil {
 			t.Fatal(err)
@@ -135,7 +169,7 @@
 	const maxRead = 2 * bounded.MaxHeaderBytes
 	for name, e := range endless {
 		source := &countingReader{r: io.MultiReader(strings.NewReader(e.before), &repeater{part: e.part})}
-		r := NewReader(source)
+		r := NewReader(source, inOrder)
 		resp, err := r.Next(get)
 		if err == nil {
 			_, err = io.Copy(io.Discard, resp.Body)
@@ -182,7 +216,7 @@
 	}
 	f.Add(malformed.Sound("r1") + malformed.Sound("r2"))
 	f.Fuzz(func(t *testing.T, text string) {
-		r := NewReader(strings.NewReader(text))
+		r := NewReader(strings.NewReader(text), inOrder)
 		for {
 			resp, err := r.Next(get)
 			if err != nil {
--- a/internal/response/transport.go
+++ b/internal/response/transport.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricothub/apricothub/internal/bounded"
+	"github.com/apricothub/apricothub/internal/sockets"
 )
 
 // Transport makes a transport refuse bytes that are no response, limits the headers that it reads, and returns it. The
@@ -71,7 +72,9 @@
 }
 
 func newCheckedConn(conn net.Conn) *checkedConn {
-	return &checkedConn{Conn: conn, in: checkedReader{r: conn}}
+	// The transport does not tell when it has written a request.
+	isWritten := func() bool { return false }
+	return &checkedConn{Conn: conn, in: checkedReader{r: conn, checkEnd: func() error { return sockets.CheckEnd(conn, isWritten) }}}
 }
 
 // Write implements net.Conn. The transport does not tell which request it writes; its first write begins with the method.
--- a/internal/sockets/conn.go
+++ b/internal/sockets/conn.go
@@ -121,12 +121,8 @@
 	if err != nil {
 		return sendState{}, err
 	}
-	var info tcpInfo
-	var infoErr error
-	if err := raw.Control(func(fd uintptr) { infoErr = info.read(fd) }); err != nil {
-		return sendState{}, err
-	}
-	return info.sendState(), infoErr
+	info, err := readInfo(raw)
+	return info.sendState(), err
 }
 
 // Pools look for input on idle connections through this interface.
--- a/internal/sockets/info.go
+++ b/internal/sockets/info.go
@@ -12,6 +12,7 @@
 
 // Offsets of fields in struct tcp_info.
 const (
+	offsetState        = 0
 	offsetProbes       = 3
 	offsetUnacked      = 24
 	offsetLastDataSent = 44
@@ -21,6 +22,9 @@
 	offsetNotSentBytes = 144
 )
 
+// stateClosed is the state TCP_CLOSE of the kernel.
+const stateClosed = 7
+
 // tcpInfo is the beginning of struct tcp_info, in the byte order of the machine.
 type tcpInfo [tcpInfoBytes]byte
 
@@ -35,6 +39,19 @@
 	return nil
 }
 
+// readInfo reads the information on a socket.
+func readInfo(raw syscall.RawConn) (tcpInfo, error) {
+	var info tcpInfo
+	var infoErr error
+	if err := raw.Control(func(fd uintptr) { infoErr = info.read(fd) }); err != nil {
+		return tcpInfo{}, err
+	}
+	return info, infoErr
+}
+
+// isClosed reports whether neither side of the connection can send.
+func (t *tcpInfo) isClosed() bool { return t[offsetState] == stateClosed }
+
 func (t *tcpInfo) uint32(offset int) uint32 { return binary.NativeEndian.Uint32(t[offset:]) }
 
 func (t *tcpInfo) millis(offset int) time.Duration {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/apricothub/apricothub/internal/bounded"
 	"github.com/apricothub/apricothub/internal/response"
+	"github.com/apricothub/apricothub/internal/sockets"
 )
 
 // ErrUnmatchedResponse is returned if a connection received responses to other requests only.
@@ -54,8 +56,14 @@
 	// idleTimeout is how long the backend server keeps the connection open while idle; zero if
 	// unknown.
 	idleTimeout time.Duration
-	// writeResult receives the result of writing the request.
-	writeResult chan error
+	// isWritten means that the request has been written completely.
+	isWritten atomic.Bool
+}
+
+func newConn(conn net.Conn, pool *Pool, server string) *Conn {
+	c := &Conn{Conn: conn, pool: pool, server: server, in: bounded.NewReader(conn, 0, answerHeader)}
+	c.responses = response.NewReader(c.in, func() error { return sockets.CheckEnd(conn, c.isWritten.Load) })
+	return c
 }
 
 // RoundTrip writes a request once and reads the header of its response. matches reports whether a
@@ -105,14 +113,12 @@
 }
 
 func (c *Conn) roundTrip(req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
-	c.writeResult = make(chan error, 1)
+	c.isWritten.Store(false)
 	if req.ContentLength > asyncWriteBytes {
-		go func() { c.writeResult <- c.write(req) }()
-	} else {
-		if err := c.write(req); err != nil {
-			return nil, err
-		}
-		c.writeResult <- nil
+		// If the write fails, so does the read, or the response is whole without it.
+		go func() { _ = c.write(req) }()
+	} else if err := c.write(req); err != nil {
+		return nil, err
 	}
 	for range maxUnmatchedResponses {
 		c.in.Allow(bounded.MaxHeaderBytes, answerHeader)
@@ -144,6 +150,7 @@
 	if err := bw.Flush(); err != nil {
 		return errors.Wrap(err, "flush request")
 	}
+	c.isWritten.Store(true)
 	return nil
 }
 
@@ -151,7 +158,7 @@
 // was written and the response was read completely, and the backend server keeps it open too. A
 // zero idleTimeout means that the backend server did not state one.
 func (c *Conn) Release(resp *http.Response, complete bool, idleTimeout time.Duration, now time.Duration) {
-	if resp == nil || !complete || resp.Close || !c.responses.IsBetweenResponses() || !c.isRequestWritten() {
+	if resp == nil || !complete || resp.Close || !c.responses.IsBetweenResponses() || !c.isWritten.Load() {
 		c.discard()
 		return
 	}
@@ -161,16 +168,6 @@
 	c.pool.putIdle(c)
 }
 
-// isRequestWritten reports whether the request has been written completely.
-func (c *Conn) isRequestWritten() bool {
-	select {
-	case err := <-c.writeResult:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 func (c *Conn) discard() {
 	_ = c.Close()
 	c.pool.releaseConn(c.server)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,9 +12,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/apricothub/apricothub/internal/bounded"
 	"github.com/apricothub/apricothub/internal/clock"
-	"github.com/apricothub/apricothub/internal/response"
 	"github.com/apricothub/apricothub/internal/sockets"
 )
 
@@ -64,8 +62,7 @@
 		p.releaseConn(server)
 		return nil, errors.Wrap(err, "connect")
 	}
-	in := bounded.NewReader(conn, 0, answerHeader)
-	return &Conn{Conn: conn, pool: p, server: server, in: in, responses: response.NewReader(in)}, nil
+	return newConn(conn, p, server), nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, so that unneeded ones reach
