Take no answer over TLS for whole that ended without close_notify

A part of an answer without a length could pass for the whole of it over TLS: from the backend server of an agent, the platform, or the admin address.

Cause: crypto/tls reports the end of the connection below as io.EOF if it comes between two records, as it does a close_notify, since many servers send none. RFC 8446 (6.1) says that without close_notify data may have been cut off.

Those that are reset, cut early or framed were refused before, and are over TLS too.

The connection below TLS notes its end. After a close_notify crypto/tls reads no further, so that an end below means that there was none, and a body that ends with the connection is refused. Framed bodies do not depend on it.

--- a/internal/response/transport.go
+++ b/internal/response/transport.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -26,19 +27,22 @@
 		if err != nil {
 			return nil, err
 		}
-		return newCheckedConn(conn), nil
+		// The transport does not tell when it has written a request.
+		isWritten := func() bool { return false }
+		return newCheckedConn(conn, func() error { return sockets.CheckEnd(conn, isWritten) }), nil
 	}
 	t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		encrypted, err := handshake(ctx, conn, t.TLSClientConfig, address)
+		below := &endingConn{Conn: conn}
+		encrypted, err := handshake(ctx, below, t.TLSClientConfig, address)
 		if err != nil {
 			_ = conn.Close()
 			return nil, err
 		}
-		return newCheckedConn(encrypted), nil
+		return newCheckedConn(encrypted, below.checkEnd), nil
 	}
 	return bounded.Transport(t)
 }
@@ -71,10 +75,8 @@
 	isUsed, sendsHead atomic.Bool
 }
 
-func newCheckedConn(conn net.Conn) *checkedConn {
-	// The transport does not tell when it has written a request.
-	isWritten := func() bool { return false }
-	return &checkedConn{Conn: conn, in: checkedReader{r: conn, checkEnd: func() error { return sockets.CheckEnd(conn, isWritten) }}}
+func newCheckedConn(conn net.Conn, checkEnd func() error) *checkedConn {
+	return &checkedConn{Conn: conn, in: checkedReader{r: conn, checkEnd: checkEnd}}
 }
 
 // Write implements net.Conn. The transport does not tell which request it writes; its first write begins with the method.
@@ -90,3 +92,30 @@
 	c.in.scanner.answersHead = c.sendsHead.Load()
 	return c.in.Read(p)
 }
+
+// errNoCloseNotify is the error of a TLS connection that ended without the alert close_notify, as when it was cut.
+var errNoCloseNotify = errors.New("the TLS connection ended without close_notify")
+
+// endingConn is a connection below TLS that notes its end. After a close_notify nothing more is read from it, and
+// crypto/tls reports an end without one in the same way.
+type endingConn struct {
+	net.Conn
+	hasEnded atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *endingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		c.hasEnded.Store(true)
+	}
+	return n, err
+}
+
+// checkEnd returns an error if the connection ended without a close_notify.
+func (c *endingConn) checkEnd() error {
+	if c.hasEnded.Load() {
+		return errNoCloseNotify
+	}
+	return nil
+}
--- a/internal/response/transport_test.go
+++ b/internal/response/transport_test.go
@@ -1,14 +1,17 @@
 package response
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/go-faster/errors"
 
 	"github.com/apricothub/apricothub/internal/bounded"
+	"github.com/apricothub/apricothub/test/earlyanswer"
 	"github.com/apricothub/apricothub/test/malformed"
 )
 
@@ -81,3 +84,75 @@
 		t.Error("a certificate that nobody vouches for was accepted")
 	}
 }
+
+// serveEarly serves an early answer with and without TLS, and returns URLs and a transport for both.
+func serveEarly(t *testing.T, a earlyanswer.Answer) (plain, encrypted string, transport *http.Transport) {
+	t.Helper()
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	defer certified.Close()
+	answer := func(*http.Request) earlyanswer.Answer { return a }
+	plain = "http://" + earlyanswer.Serve(t, answer).Address()
+	encrypted = "https://" + earlyanswer.ServeTLS(t, certified.TLS, answer).Address()
+	config := certified.Client().Transport.(*http.Transport).TLSClientConfig
+	return plain, encrypted, Transport(&http.Transport{DisableKeepAlives: true, TLSClientConfig: config})
+}
+
+// send sends a request with a body of size bytes and reads its response.
+func send(t *testing.T, transport http.RoundTripper, url string, size int) (string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewReader(make([]byte, size)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.GetBody = nil
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := bounded.ReadAll(resp.Body, 1<<20, "the body")
+	return string(body), err
+}
+
+// Guards against a transport that takes a part of an answer for the whole: one that was reset, or that ended without the
+// close_notify of TLS.
+func TestTransportRefusesResponsesThatAreCut(t *testing.T) {
+	for name, a := range earlyanswer.Cut("text/plain") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			plain, encrypted, transport := serveEarly(t, a)
+			for _, size := range a.Uploads() {
+				for _, url := range []string{plain, encrypted} {
+					if body, err := send(t, transport, url, size); err == nil {
+						t.Errorf("%s, %d bytes: read as %q", url, size, body)
+					}
+				}
+			}
+		})
+	}
+	for name, a := range earlyanswer.CutByExit("text/plain") {
+		t.Run("TLS and exit/"+name, func(t *testing.T) {
+			t.Parallel()
+			_, encrypted, transport := serveEarly(t, a)
+			if body, err := send(t, transport, encrypted, 10); err == nil {
+				t.Errorf("read as %q", body)
+			}
+		})
+	}
+}
+
+// Guards against a transport that refuses whole responses.
+func TestTransportReadsWholeResponses(t *testing.T) {
+	for name, a := range earlyanswer.Whole("text/plain") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			plain, encrypted, transport := serveEarly(t, a)
+			for _, url := range []string{plain, encrypted} {
+				isCut := url == encrypted && a.End == earlyanswer.Close && !strings.Contains(a.Text, "Length")
+				if body, err := send(t, transport, url, 0); (err != nil) != isCut || !isCut && body != a.Body {
+					t.Errorf("%s: read as %q, %v", url, body, err)
+				}
+			}
+		})
+	}
+}
--- a/internal/sockets/ending.go
+++ b/internal/sockets/ending.go
@@ -1,7 +1,6 @@
 package sockets
 
 import (
-	"crypto/tls"
 	"net"
 	"syscall"
 	"time"
@@ -29,9 +28,6 @@
 // a read meets an end. A peer that closes a connection without reading what arrives resets it as well. So CheckEnd
 // waits, for at most endTimeout, until it is known whether the peer goes on reading.
 func CheckEnd(conn net.Conn, isWritten func() bool) error {
-	if encrypted, ok := conn.(*tls.Conn); ok {
-		conn = encrypted.NetConn()
-	}
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return errors.Errorf("the end of a %T cannot be checked", conn)
