Reset the connection of an HTTP/1.0 caller whose answer is broken off

A caller of HTTP/1.0 got a part of an answer as the whole of it: a stream, or an answer above 1 MiB, whose backend server broke it off after the first bytes were passed on.

Cause: such an answer has no length and ends with its connection. The gateway broke it off by closing the connection in order, which tells callers of HTTP/1.1 enough, as the last chunk is missing, and those of HTTP/1.0 that the answer is whole.

A handler that panics to break off an answer now makes the close of the connection a reset if the request is of HTTP/1.0. The guard of all listeners does it, so that entries have it too. Callers of HTTP/1.1 are not reset: they keep what has arrived.

--- a/internal/httpguard/connection.go
+++ b/internal/httpguard/connection.go
@@ -103,6 +103,14 @@
 	}
 }
 
+// breakOff makes the end of an answer that is broken off a reset if the client could take it for that of the whole: in
+// HTTP/1.0 there are no chunks, and an answer without a length ends with its connection.
+func (c *connection) breakOff(r *http.Request) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // hold counts bytes that are held for the current request.
 func (c *connection) hold(bytes int64) bool {
 	if !c.guard.hold(c, bytes) {
--- a/internal/httpguard/guard.go
+++ b/internal/httpguard/guard.go
@@ -139,6 +139,12 @@
 			result.WriteHTTP(w, noRoom())
 			return
 		}
+		defer func() {
+			if broken := recover(); broken != nil {
+				c.breakOff(r)
+				panic(broken)
+			}
+		}()
 		next.ServeHTTP(w, r)
 		c.endRequest()
 	})
